--- /dev/null
+++ b/cmake/packages.cmake
@@ -0,0 +1,40 @@
+# Defines a library from all sources of the current folder.
+function(amaranthward_library NAME)
+  file(GLOB SOURCES CONFIGURE_DEPENDS *.cpp)
+  if(SOURCES)
+    add_library(${NAME} STATIC ${SOURCES})
+    set_target_properties(${NAME} PROPERTIES PREFIX "")
+    set(SCOPE PUBLIC)
+  else()
+    add_library(${NAME} INTERFACE)
+    set(SCOPE INTERFACE)
+  endif()
+  target_include_directories(${NAME} ${SCOPE} ${PROJECT_SOURCE_DIR}/src)
+  target_link_libraries(${NAME} ${SCOPE} ${ARGN})
+endfunction()
+
+# Defines the test program of one library from all sources of the current
+# folder and registers it with CTest.
+function(amaranthward_test NAME)
+  file(GLOB SOURCES CONFIGURE_DEPENDS *.cpp)
+  if(NOT SOURCES)
+    return()
+  endif()
+  add_executable(${NAME} ${SOURCES})
+  target_include_directories(${NAME} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
+  target_link_libraries(${NAME} PRIVATE ${ARGN} rapidcheck)
+  target_compile_definitions(
+    ${NAME} PRIVATE AMARANTHWARD_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+  add_test(NAME ${NAME} COMMAND ${NAME})
+  set_tests_properties(${NAME} PROPERTIES TIMEOUT 120)
+endfunction()
+
+# Defines an executable from all sources of the current folder.
+function(amaranthward_program NAME)
+  file(GLOB SOURCES CONFIGURE_DEPENDS *.cpp)
+  if(NOT SOURCES)
+    return()
+  endif()
+  add_executable(${NAME} ${SOURCES})
+  target_link_libraries(${NAME} PRIVATE ${ARGN})
+endfunction()
