--- /dev/null
+++ b/src/libcontrol/applyconfiguration.cpp
@@ -0,0 +1,138 @@
+#include "libcontrol/applyconfiguration.h"
+
+#include "libconfig/configurationcodec.h"
+#include "libpolicy/movepacer.h"
+
+namespace amaranthward {
+
+namespace {
+
+// Deadline of a move whose service has no move section.
+constexpr Duration DefaultFinishWithin = std::chrono::minutes(5);
+
+WallTime deadlineOf(const ServiceSpec &Spec, WallTime AcceptedAt) {
+  if (Spec.Move && Spec.Move->FinishBy)
+    return *Spec.Move->FinishBy;
+  if (Spec.Move && Spec.Move->FinishWithin)
+    return AcceptedAt + *Spec.Move->FinishWithin;
+  return AcceptedAt + DefaultFinishWithin;
+}
+
+Duration probationOf(const ServiceSpec &Spec) {
+  return Spec.Move ? Spec.Move->Probation : MoveSpec().Probation;
+}
+
+} // namespace
+
+ApplyConfiguration::ApplyConfiguration(ConfigurationSet Set,
+                                       WallTime SubmittedAt)
+    : Set(std::move(Set)), Digest(digestOf(this->Set)),
+      SubmittedAt(SubmittedAt) {}
+
+Result<ApplyConfiguration> ApplyConfiguration::create(ConfigurationSet Set,
+                                                      WallTime SubmittedAt) {
+  return ApplyConfiguration(std::move(Set), SubmittedAt);
+}
+
+Result<ApplyConfiguration> ApplyConfiguration::fromJson(const Json &Value) {
+  auto Set = configurationFromJson(Value.value("set", Json()));
+  if (!Set)
+    return tl::make_unexpected(Set.error());
+  WallTime SubmittedAt(
+      Duration(static_cast<std::int64_t>(numberAt(Value, "submitted_at"))));
+  return ApplyConfiguration(std::move(*Set), SubmittedAt);
+}
+
+Json ApplyConfiguration::toJson() const {
+  return {{"kind", Kind},
+          {"set", amaranthward::toJson(this->Set)},
+          {"submitted_at", this->SubmittedAt.time_since_epoch().count()}};
+}
+
+std::optional<ApplyOutcome>
+ApplyConfiguration::decidedAlready(const ControlData &Data) const {
+  for (const AcceptedSet &Earlier : Data.History) {
+    if (Earlier.Version != this->Set.Version)
+      continue;
+    auto What = Earlier.Digest == this->Digest ? ApplyOutcome::Kind::Repeated
+                                               : ApplyOutcome::Kind::Conflict;
+    return ApplyOutcome{What, Earlier};
+  }
+  const AcceptedSet *Newest = Data.newest();
+  if (Newest && this->Set.Version < Newest->Version)
+    return ApplyOutcome{ApplyOutcome::Kind::Stale, *Newest};
+  return std::nullopt;
+}
+
+ApplyOutcome ApplyConfiguration::execute(ControlData &Data,
+                                         Revision At) const {
+  if (auto Decided = this->decidedAlready(Data))
+    return *Decided;
+  AcceptedSet Accepted{this->Set.Version, this->Digest, At, this->SubmittedAt};
+  Data.History.push_back(Accepted);
+  if (Data.History.size() > ControlData::MaxHistory)
+    Data.History.pop_front();
+  Data.Current = this->Set;
+  Data.Changed = At;
+  this->dropMissingServices(Data);
+  for (const ServiceSpec &Spec : this->Set.Services)
+    this->updateService(Data, At, Spec);
+  return ApplyOutcome{ApplyOutcome::Kind::Accepted, Accepted};
+}
+
+void ApplyConfiguration::updateService(ControlData &Data, Revision At,
+                                       const ServiceSpec &Spec) const {
+  Split Wanted = withoutZeroShares(Spec.Split);
+  auto [Entry, IsNew] = Data.Services.try_emplace(Spec.Name);
+  ServiceState &State = Entry->second;
+  if (IsNew) {
+    State.InForce = Wanted;
+    State.Settled = Wanted;
+    return;
+  }
+  const Split &Target =
+      State.hasOpenMove() ? State.Move->State.To : State.InForce;
+  if (Wanted != withoutZeroShares(Target))
+    this->beginMove(Data, At, Spec, State);
+}
+
+void ApplyConfiguration::beginMove(ControlData &Data, Revision At,
+                                   const ServiceSpec &Spec,
+                                   ServiceState &State) const {
+  MoveRequest Wanted;
+  Wanted.Id = Spec.Name.str() + '-' + std::to_string(At.value());
+  Wanted.Service = Spec.Name;
+  Wanted.To = withoutZeroShares(Spec.Split);
+  Wanted.Deadline = deadlineOf(Spec, this->SubmittedAt);
+  Wanted.Probation = probationOf(Spec);
+  std::optional<MoveState> Open;
+  if (State.hasOpenMove())
+    Open = State.Move->State;
+  auto Start = MovePacer::begin(this->SubmittedAt, Wanted, State.InForce,
+                                State.Settled, Open);
+  if (!Start)
+    return;
+  if (Start->Superseded)
+    Data.addEvent(*Start->Superseded, this->SubmittedAt);
+  Data.addEvent(Start->Begun, this->SubmittedAt);
+  State.Move = MoveRecord{std::move(Start->Begun), 0, At};
+}
+
+void ApplyConfiguration::dropMissingServices(ControlData &Data) const {
+  for (auto Entry = Data.Services.begin(); Entry != Data.Services.end();) {
+    if (this->Set.findService(Entry->first)) {
+      ++Entry;
+      continue;
+    }
+    if (Entry->second.hasOpenMove()) {
+      MoveState Ended = Entry->second.Move->State;
+      Ended.Phase = MovePhase::Superseded;
+      Ended.Reason = MoveReason::NewTarget;
+      Ended.EndedAt = this->SubmittedAt;
+      Data.addEvent(Ended, this->SubmittedAt);
+    }
+    Entry = Data.Services.erase(Entry);
+  }
+}
+
+} // namespace amaranthward
--- /dev/null
+++ b/src/libcontrol/controldata.cpp
@@ -0,0 +1,78 @@
+#include "libcontrol/controldata.h"
+
+#include "libconfig/resources.h"
+#include <algorithm>
+
+namespace amaranthward {
+
+namespace {
+
+// A version that still carries traffic, or may get it back by a rollback,
+// stays part of its service although the newest set no longer lists it.
+void addVersionsInUse(Json &Service, const ServiceState &State) {
+  Json &Versions = Service["versions"];
+  auto AddMissing = [&Versions](const Split &Shares) {
+    for (const auto &[Version, Part] : Shares) {
+      Json Name = Version.str();
+      if (std::find(Versions.begin(), Versions.end(), Name) == Versions.end())
+        Versions.push_back(Name);
+    }
+  };
+  AddMissing(State.InForce);
+  AddMissing(State.Settled);
+}
+
+Json moveResource(const MoveRecord &Record) {
+  const MoveState &Move = Record.State;
+  return {{"id", Move.Id},
+          {"phase", toString(Move.Phase)},
+          {"candidate", Move.Candidate.str()},
+          {"baseline", Move.Baseline.str()},
+          {"decided", Record.ChangedIn.value()}};
+}
+
+} // namespace
+
+const AcceptedSet *ControlData::newest() const {
+  return this->History.empty() ? nullptr : &this->History.back();
+}
+
+void ControlData::addEvent(const MoveState &Move, WallTime At) {
+  MoveEvent Event;
+  Event.Sequence = ++this->LastEvent;
+  Event.MoveId = Move.Id;
+  Event.Service = Move.Service;
+  Event.Phase = Move.Phase;
+  Event.Reason = toString(Move.Reason);
+  Event.InForce = Move.shareOf(Move.Driver);
+  Event.At = At;
+  this->Events.push_back(std::move(Event));
+  if (this->Events.size() > MaxEvents)
+    this->Events.pop_front();
+}
+
+ResourceMap ControlData::resources() const {
+  if (!this->Current)
+    return {};
+  ResourceMap All = resourcesOf(*this->Current);
+  for (const auto &[Service, State] : this->Services) {
+    addVersionsInUse(All["service/" + Service.str()], State);
+    All["split/" + Service.str()] = {{"shares", splitToJson(State.InForce)}};
+    if (State.Move)
+      All["move/" + Service.str()] = moveResource(*State.Move);
+  }
+  for (const auto &[Key, Mark] : this->BadMarks)
+    All["bad/" + Key.first.str() + '/' + Key.second.str()] = Mark.Reason;
+  return All;
+}
+
+Split withoutZeroShares(const Split &Shares) {
+  Split Kept;
+  for (const auto &[Version, Part] : Shares) {
+    if (Part > Share::none())
+      Kept.emplace(Version, Part);
+  }
+  return Kept;
+}
+
+} // namespace amaranthward
--- /dev/null
+++ b/src/libcontrol/controlstate.h
@@ -0,0 +1,40 @@
+#ifndef AMARANTHWARD_LIBCONTROL_CONTROLSTATE_H
+#define AMARANTHWARD_LIBCONTROL_CONTROLSTATE_H
+
+#include "libcontrol/applyconfiguration.h"
+#include "libcontrol/controldata.h"
+#include <map>
+
+namespace amaranthward {
+
+/// The replicated state machine. Every replica applies the same records in the
+/// same order and arrives at the same state.
+class ControlState {
+public:
+  static Result<ControlState> create() { return ControlState(); }
+
+  /// Applies one committed record. A record that cannot be read changes
+  /// nothing; all replicas agree on that.
+  void apply(LogIndex At, const std::string &Payload);
+
+  std::string takeSnapshot() const;
+  /// Fails with Corrupt when \a Text is not a snapshot.
+  Result<void> restoreSnapshot(const std::string &Text);
+
+  const ControlData &data() const { return this->Data; }
+  /// Outcome of the configuration set in record \a At, while it is among the
+  /// newest outcomes kept.
+  std::optional<ApplyOutcome> outcomeOf(LogIndex At) const;
+
+private:
+  ControlState() = default;
+
+  static constexpr std::size_t MaxOutcomes = 1000;
+
+  ControlData Data;
+  std::map<LogIndex, ApplyOutcome> Outcomes;
+};
+
+} // namespace amaranthward
+
+#endif
