--- /dev/null
+++ b/src/libpolicy/localreflex.h
@@ -0,0 +1,45 @@
+#ifndef AMARANTHWARD_LIBPOLICY_LOCALREFLEX_H
+#define AMARANTHWARD_LIBPOLICY_LOCALREFLEX_H
+
+#include "libcore/ids.h"
+#include "libpolicy/versionanalysis.h"
+#include <map>
+
+namespace amaranthward {
+
+/// A node's own reduction of an unproven version's share. It only ever lowers
+/// the share that the leader decided, on what this node has seen itself, and
+/// ends when a newer decision of the leader arrives.
+class LocalReflex {
+public:
+  static Result<LocalReflex> create(std::vector<RouteName> Routes,
+                                    AnalysisOptions Options = {});
+
+  /// Takes the leader's decision in force at this node. A higher \a Decided
+  /// releases the reduction; the same or a lower one changes nothing.
+  void follow(Revision Decided, Share Leaders);
+
+  /// Takes this node's own cumulative counters. Returns whether the share has
+  /// been lowered by this step.
+  bool step(Instant Now, const std::map<RouteName, RouteTotals> &Own);
+
+  /// Share to use; never more than the leader's.
+  Share share() const;
+  bool reduced() const { return this->Reduced; }
+  const AnalysisVerdict &verdict() const { return this->Analysis.verdict(); }
+
+private:
+  LocalReflex(std::vector<RouteName> Routes, AnalysisOptions Options,
+              VersionAnalysis Analysis);
+
+  std::vector<RouteName> Routes;
+  AnalysisOptions Options;
+  VersionAnalysis Analysis;
+  Revision Followed;
+  Share Leaders;
+  bool Reduced = false;
+};
+
+} // namespace amaranthward
+
+#endif
--- /dev/null
+++ b/src/libpolicy/movepacer.h
@@ -0,0 +1,120 @@
+#ifndef AMARANTHWARD_LIBPOLICY_MOVEPACER_H
+#define AMARANTHWARD_LIBPOLICY_MOVEPACER_H
+
+#include "libpolicy/movestate.h"
+#include "libpolicy/versionanalysis.h"
+#include <map>
+#include <optional>
+
+namespace amaranthward {
+
+/// A wanted split for one service.
+struct MoveRequest {
+  std::string Id;
+  ServiceName Service;
+  /// Adds up to Share::Whole.
+  Split To;
+  WallTime Deadline;
+  Duration Probation = std::chrono::seconds(60);
+};
+
+/// What the leader knows at the time of one decision.
+struct MoveInputs {
+  WallTime Now;
+  AnalysisVerdict Verdict;
+  /// Calls per second of the whole service; 0 while unknown.
+  double CallsPerSecond = 0;
+  /// Calls of the whole service in flight (rate times mean latency).
+  double Demand = 0;
+  /// Calls that each version's live upstreams can hold at the same time; a
+  /// version that is absent has no upstreams.
+  std::map<VersionName, double> Capacity;
+  /// Number of routes of the service that carry traffic.
+  std::uint32_t Routes = 1;
+  /// The mark "bad" exists for this move's candidate.
+  bool CandidateMarkedBad = false;
+};
+
+enum class MoveAction {
+  Keep,
+  /// Write Next, whose InForce split or phase differs from the one before.
+  SetShare,
+  /// Write Next, which has ended, and report it.
+  End,
+  /// The candidate turned bad after the move was done. Write Next, whose
+  /// InForce is the fallback; the outcome that was reported stays Done.
+  Revert,
+};
+
+struct MoveDecision {
+  MoveAction Action = MoveAction::Keep;
+  /// Equal to the state passed in when \a Action is Keep.
+  MoveState Next;
+  /// The candidate is to be marked bad.
+  bool MarkBad = false;
+};
+
+/// A new move and the one that it replaces.
+struct MoveStart {
+  MoveState Begun;
+  /// The open move, ended as Superseded, to be reported once.
+  std::optional<MoveState> Superseded;
+};
+
+struct PacerOptions {
+  Duration StepInterval = std::chrono::seconds(1);
+  /// Candidate calls per second and route before there is evidence.
+  double FirstRate = 2;
+  /// Growth of the candidate's calls per second with each call seen.
+  double RatePerCall = 0.5;
+  /// Share beyond which EarlyCalls per route are required.
+  Share EarlyShare = Share(100);
+  std::uint32_t EarlyCalls = 300;
+  /// Largest factor and largest difference of one step.
+  double StepFactor = 2;
+  Share StepSize = Share(2500);
+  /// Part of a version's capacity that a step may use.
+  double CapacityPart = 0.8;
+};
+
+/// Decides each step of a move. It has no state of its own: everything is in
+/// the MoveState, which the log stores.
+class MovePacer {
+public:
+  static Result<MovePacer> create(PacerOptions Options = {});
+
+  /// Begins a move at \a Now from \a InForce. \a Settled is the split before
+  /// the first unfinished move; it is where a rollback leads. \a Open is the
+  /// move to replace, if any. Fails with InvalidArgument when a split does not
+  /// add up to Share::Whole.
+  static Result<MoveStart> begin(WallTime Now, const MoveRequest &Wanted,
+                                 const Split &InForce, const Split &Settled,
+                                 const std::optional<MoveState> &Open);
+
+  /// Never changes a move that has ended, but for Revert.
+  MoveDecision decide(const MoveState &State, const MoveInputs &Inputs) const;
+
+  /// Whether observations on the move are still wanted: it is open, or done
+  /// and within the time in which Revert is possible.
+  static bool isWatched(const MoveState &State, WallTime Now);
+
+private:
+  explicit MovePacer(PacerOptions Options) : Options(Options) {}
+
+  MoveDecision decideOpen(const MoveState &State, const MoveInputs &In) const;
+  MoveDecision decideHolding(const MoveState &State,
+                             const MoveInputs &In) const;
+  MoveDecision decideAtDeadline(const MoveState &State,
+                                const MoveInputs &In) const;
+  MoveDecision decideShare(const MoveState &State, const MoveInputs &In) const;
+  /// Share of the driver wanted now, before the bounds on one step.
+  double wantedShare(const MoveState &State, const MoveInputs &In) const;
+  double plannedShare(const MoveState &State, WallTime Now) const;
+  double capacityShare(const MoveState &State, const MoveInputs &In) const;
+
+  PacerOptions Options;
+};
+
+} // namespace amaranthward
+
+#endif
