--- a/src/libconfig/configurationset.h
+++ b/src/libconfig/configurationset.h
@@ -7,12 +7,19 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace amaranthward {
 
 enum class CallClass { Urgent, Interactive, Bulk };
 
+/// "urgent", "interactive" or "bulk".
+const char *toString(CallClass Class);
+/// Inverse of \a toString; nothing for any other text.
+std::optional<CallClass> callClassOf(std::string_view Text);
+
+/// An availability zone.
 struct ZoneSpec {
   ZoneName Name;
   RegionName Region;
@@ -29,10 +36,13 @@
   Duration WarmUp = std::chrono::seconds(10);
 };
 
-/// How traffic moves to the wanted split.
+/// How traffic moves to the wanted split. Exactly one of \a FinishBy and
+/// \a FinishWithin is set.
 struct MoveSpec {
   /// The move is done or rolled back by this time.
-  WallTime FinishBy;
+  std::optional<WallTime> FinishBy;
+  /// The same, relative to the time at which the set is accepted.
+  std::optional<Duration> FinishWithin;
   /// Time for which the previous version is kept ready after the last step.
   Duration Probation = std::chrono::seconds(60);
 };
@@ -40,7 +50,8 @@
 struct ServiceSpec {
   ServiceName Name;
   std::vector<VersionName> Versions;
-  /// Wanted shares; they add up to Share::Whole.
+  /// Wanted shares; they add up to Share::Whole. Every version has an entry,
+  /// if only of 0. Empty in a \a RoutingView, which has the split in force.
   std::map<VersionName, Share> Split;
   std::optional<MoveSpec> Move;
   std::vector<ServiceName> DependsOn;
--- /dev/null
+++ b/src/libconfig/resources.h
@@ -0,0 +1,15 @@
+#ifndef AMARANTHWARD_LIBCONFIG_RESOURCES_H
+#define AMARANTHWARD_LIBCONFIG_RESOURCES_H
+
+#include "libconfig/configurationset.h"
+#include "libcore/resource.h"
+
+namespace amaranthward {
+
+/// The resources that follow from the set alone: set, mesh, zone/, service/
+/// and route/. The replicated state machine adds split/, move/ and bad/.
+ResourceMap resourcesOf(const ConfigurationSet &Set);
+
+} // namespace amaranthward
+
+#endif
--- /dev/null
+++ b/src/libconfig/routingview.h
@@ -0,0 +1,61 @@
+#ifndef AMARANTHWARD_LIBCONFIG_ROUTINGVIEW_H
+#define AMARANTHWARD_LIBCONFIG_ROUTINGVIEW_H
+
+#include "libconfig/configurationset.h"
+#include "libcore/resource.h"
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace amaranthward {
+
+/// Immutable view of the replicated state, for the data path. Copies share
+/// their content; a pointer or reference stays valid while any copy exists.
+class RoutingView {
+public:
+  /// Checks the reference closure: the set, every route's service, every
+  /// service's versions, dependencies and split, every split's service and
+  /// versions. Keys with other prefixes, such as member/, are ignored. Fails
+  /// with InvalidArgument and names the first resource that does not fit.
+  ///
+  /// Values of split/<service> are {"shares": {"v1": 10000}}. A key
+  /// bad/<service>/<version> marks a version whatever its value is.
+  static Result<RoutingView> create(const ResourceMap &Resources);
+
+  /// The route with the longest path prefix that fits, on a segment boundary;
+  /// for the same prefix, a route for \a Method before one for any method.
+  /// \param Path without query. Nothing is decoded or normalised.
+  const RouteSpec *matchRoute(std::string_view Method,
+                              std::string_view Path) const;
+  /// The route of that name, or null.
+  const RouteSpec *route(const RouteName &Name) const;
+  /// Split and Move of the result are empty.
+  const ServiceSpec *service(const ServiceName &Name) const;
+  /// Shares now in force; empty for an unknown service.
+  const std::map<VersionName, Share> &split(const ServiceName &Name) const;
+  /// False for a zone that the set does not name.
+  bool zoneInService(const ZoneName &Name) const;
+  bool isBad(const ServiceName &Service, const VersionName &Version) const;
+  /// Value of move/<service>, or null.
+  const Json *openMove(const ServiceName &Name) const;
+  const MeshLimits &limits() const;
+
+  OperatorVersion version() const;
+  /// Digest of the accepted set.
+  const std::string &digest() const;
+  const std::map<ServiceName, ServiceSpec> &services() const;
+  const std::map<RouteName, RouteSpec> &routes() const;
+  const std::map<ZoneName, ZoneSpec> &zones() const;
+
+private:
+  struct Content;
+
+  explicit RoutingView(std::shared_ptr<const Content> Shared);
+
+  std::shared_ptr<const Content> Shared;
+};
+
+} // namespace amaranthward
+
+#endif
