Declare the public interface of libdistribution

Acknowledgements travel as renewals grouped by revision, so that the leader counts each session once whichever parent carried it.

--- /dev/null
+++ b/src/libdistribution/relaytree.h
@@ -0,0 +1,53 @@
+#ifndef AMARANTHWARD_LIBDISTRIBUTION_RELAYTREE_H
+#define AMARANTHWARD_LIBDISTRIBUTION_RELAYTREE_H
+
+#include "libdistribution/syncmessages.h"
+#include <map>
+
+namespace amaranthward {
+
+struct RelayTreeOptions {
+  std::size_t FanOut = 8;
+  /// Nodes of each zone that sync with the control leader.
+  std::size_t Roots = 2;
+};
+
+/// The tree along which state spreads within one zone, as the member list
+/// defines it. Every parent and candidate has a lower rank than its child,
+/// so one member list gives no cycle.
+class RelayTree {
+public:
+  /// Members of other zones and leaving members take no part.
+  static Result<RelayTree> create(const ZoneName &Zone,
+                                  const std::vector<Member> &Members,
+                                  RelayTreeOptions Options = {});
+
+  /// Absent for a node that is not in the tree.
+  std::optional<std::size_t> rankOf(const NodeName &Node) const;
+  /// Absent for a root, which syncs with the control leader.
+  std::optional<NodeName> parentOf(const NodeName &Node) const;
+  /// Hops from the leader; 1 for a root.
+  std::size_t depthOf(const NodeName &Node) const;
+  /// Parents to try before the control leader, first choice first: the
+  /// parent, its ancestors, the roots. Empty for a root. A node that is not
+  /// in the list gets the place that it will have once it is.
+  std::vector<ParentCandidate> candidatesFor(const NodeName &Node) const;
+  /// The other roots of a root's zone. During a source outage a root takes
+  /// data from them, so that a revision that reached only one root reaches
+  /// the whole zone.
+  std::vector<ParentCandidate> otherRoots(const NodeName &Node) const;
+  std::size_t size() const { return this->Ranked.size(); }
+
+private:
+  std::size_t placeOf(const NodeName &Node) const;
+  std::size_t parentRank(std::size_t Rank) const;
+
+  ZoneName Zone;
+  RelayTreeOptions Options;
+  std::vector<ParentCandidate> Ranked;
+  std::map<NodeName, std::size_t> Ranks;
+};
+
+} // namespace amaranthward
+
+#endif
--- /dev/null
+++ b/src/libdistribution/uplinkbatch.h
@@ -0,0 +1,86 @@
+#ifndef AMARANTHWARD_LIBDISTRIBUTION_UPLINKBATCH_H
+#define AMARANTHWARD_LIBDISTRIBUTION_UPLINKBATCH_H
+
+#include "libcore/json.h"
+#include "libcore/units.h"
+#include "libdistribution/member.h"
+#include <map>
+#include <string>
+#include <vector>
+
+namespace amaranthward {
+
+/// Random number below 2^53, so that every JSON reader keeps it exact.
+using SessionId = StrongNumber<struct SessionIdTag>;
+
+SessionId randomSession(const RandomFunction &Random);
+
+/// A node's statement about itself.
+struct Announcement {
+  SessionId Session;
+  /// Counts the announcements of one incarnation; the highest one holds.
+  std::uint64_t Sequence = 0;
+  Member Subject;
+  /// The process is about to exit: its session ends at once.
+  bool Gone = false;
+};
+
+/// Cumulative counters of one reporter, opaque to this library.
+struct Observation {
+  NodeName Reporter;
+  Incarnation Start;
+  Json Counters;
+};
+
+/// A revision that a node received and did not put in force.
+struct RefusedRevision {
+  NodeName Node;
+  Revision Refused;
+  std::string Reason;
+};
+
+/// How soon a batch should travel upward.
+enum class Urgency { None, Soon, Immediate };
+
+/// What a subtree has to say to the leader, without duplicates. Merging is
+/// idempotent and independent of order.
+class UplinkBatch {
+public:
+  /// Renews \a Session and states the revision that its node has in force.
+  void renew(SessionId Session, Revision InForce, Instant Received);
+  void announce(const Announcement &Subject);
+  void observe(const Observation &Subject);
+  void refuse(const RefusedRevision &Subject);
+  void merge(const UplinkBatch &Other);
+  /// Drops renewals received before \a Oldest, so that a message that was
+  /// held up does not keep a dead session alive.
+  void dropRenewalsBefore(Instant Oldest);
+  bool empty() const;
+
+  struct Renewal {
+    Revision InForce;
+    Instant Received;
+  };
+  const std::map<SessionId, Renewal> &renewals() const {
+    return this->Renewals;
+  }
+  const std::map<NodeName, Announcement> &announcements() const {
+    return this->Announcements;
+  }
+  const std::map<NodeName, Observation> &observations() const {
+    return this->Observations;
+  }
+  const std::map<NodeName, RefusedRevision> &refusals() const {
+    return this->Refusals;
+  }
+
+private:
+  std::map<SessionId, Renewal> Renewals;
+  std::map<NodeName, Announcement> Announcements;
+  std::map<NodeName, Observation> Observations;
+  std::map<NodeName, RefusedRevision> Refusals;
+};
+
+} // namespace amaranthward
+
+#endif
