Add the interfaces of admission control, choice, retries and deadlines

CallClass moves from configurationset.h to libcore/callclass.h because libpolicy depends on libcore only; configurationset.h includes it, so existing code builds unchanged.

--- a/src/libconfig/configurationset.h
+++ b/src/libconfig/configurationset.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTHWARD_LIBCONFIG_CONFIGURATIONSET_H
 #define AMARANTHWARD_LIBCONFIG_CONFIGURATIONSET_H
 
+#include "libcore/callclass.h"
 #include "libcore/ids.h"
 #include "libcore/units.h"
 #include <cstdint>
@@ -11,8 +12,6 @@
 
 namespace amaranthward {
 
-enum class CallClass { Urgent, Interactive, Bulk };
-
 struct ZoneSpec {
   ZoneName Name;
   RegionName Region;
--- /dev/null
+++ b/src/libpolicy/retrydecision.h
@@ -0,0 +1,68 @@
+#ifndef AMARANTHWARD_LIBPOLICY_RETRYDECISION_H
+#define AMARANTHWARD_LIBPOLICY_RETRYDECISION_H
+
+#include "libcore/units.h"
+#include <cstdint>
+
+namespace amaranthward {
+
+/// What is known about one attempt when it has ended.
+enum class AttemptOutcome {
+  /// A complete response that is not a failure.
+  Answered,
+  /// A complete failure response: the request ran.
+  Failed,
+  /// Proved: no byte of the request reached an upstream.
+  NotRun,
+  /// It may have run.
+  Unknown,
+};
+
+struct RetryQuestion {
+  AttemptOutcome Outcome = AttemptOutcome::Unknown;
+  bool Idempotent = false;
+  /// The attempt went to a version that is not proven yet.
+  bool UnprovenVersion = false;
+  /// The extra attempt on the baseline has been used by this call.
+  bool BaselineTried = false;
+  /// The request body is still held and can be sent again.
+  bool BodyHeld = true;
+  std::uint32_t Attempts = 1;
+  Duration TimeLeft = Duration::zero();
+  bool BudgetLeft = false;
+};
+
+enum class RetryAction {
+  /// Give the outcome to the caller.
+  Stop,
+  /// Send again to another upstream; takes one token of the budget.
+  Retry,
+  /// Send once to the baseline version; outside the budget.
+  RetryOnBaseline,
+};
+
+enum class StopReason {
+  None,
+  Answered,
+  MayHaveRun,
+  BodyGone,
+  NoTimeLeft,
+  TooManyAttempts,
+  BudgetSpent,
+};
+
+struct RetryDecision {
+  RetryAction Action = RetryAction::Stop;
+  StopReason Reason = StopReason::None;
+};
+
+/// Attempts of one call, with the extra one on the baseline.
+inline constexpr std::uint32_t MaxAttempts = 3;
+/// A retry with less time left would only add load.
+inline constexpr Duration MinRetryTime = std::chrono::milliseconds(2);
+
+RetryDecision retryDecision(const RetryQuestion &Question);
+
+} // namespace amaranthward
+
+#endif
