--- a/src/libconfig/configurationset.h
+++ b/src/libconfig/configurationset.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTHWARD_LIBCONFIG_CONFIGURATIONSET_H
 #define AMARANTHWARD_LIBCONFIG_CONFIGURATIONSET_H
 
+#include "libcore/callclass.h"
 #include "libcore/ids.h"
 #include "libcore/units.h"
 #include <cstdint>
@@ -12,8 +13,6 @@
 
 namespace amaranthward {
 
-enum class CallClass { Urgent, Interactive, Bulk };
-
 /// "urgent", "interactive" or "bulk".
 const char *toString(CallClass Class);
 /// Inverse of \a toString; nothing for any other text.
