--- /dev/null
+++ b/src/libnet/streamconnection.h
@@ -0,0 +1,81 @@
+#ifndef AMARANTHWARD_LIBNET_STREAMCONNECTION_H
+#define AMARANTHWARD_LIBNET_STREAMCONNECTION_H
+
+#include "libnet/eventloop.h"
+#include <Poco/Net/StreamSocket.h>
+#include <string>
+#include <string_view>
+
+namespace amaranthward {
+
+/// Buffered bytes over one non-blocking TCP connection.
+///
+/// Writes made during one event are sent together after it. No hook is called
+/// after \a close.
+class StreamConnection : public std::enable_shared_from_this<StreamConnection> {
+public:
+  struct Hooks {
+    std::function<void()> OnConnected;
+    std::function<void(std::string_view)> OnData;
+    /// The peer ended its direction, or the connection failed.
+    std::function<void(const std::string &Reason)> OnClosed;
+    std::function<void()> OnDrained;
+  };
+
+  static constexpr std::size_t HighWater = 64 * 1024;
+  static constexpr std::size_t LowWater = 16 * 1024;
+
+  /// Takes over a connected socket.
+  static std::shared_ptr<StreamConnection>
+  accept(EventLoop &Loop, Poco::Net::StreamSocket Socket, Hooks NewHooks);
+  /// Starts to connect; fails when the system refuses at once.
+  static Result<std::shared_ptr<StreamConnection>>
+  connect(EventLoop &Loop, const Poco::Net::SocketAddress &Address,
+          Hooks NewHooks);
+
+  ~StreamConnection();
+
+  /// Returns false when the buffer is above its high-water mark.
+  bool write(std::string_view Data);
+  void watchReads(bool Enabled);
+  void close();
+  /// Ends the sending direction once the buffer is empty.
+  void finishWrites();
+
+  bool connected() const { return this->Connected; }
+  bool closed() const { return this->Closed; }
+  std::size_t pending() const { return this->Out.size() - this->Sent; }
+  std::uint64_t bytesIn() const { return this->TotalIn; }
+  std::uint64_t bytesOut() const { return this->TotalOut; }
+  /// True when the peer has closed or sent bytes nobody asked for.
+  bool peerActed();
+
+private:
+  StreamConnection(EventLoop &Loop, Poco::Net::StreamSocket Socket,
+                   Hooks NewHooks);
+  void start();
+  void onReadable();
+  void onWritable();
+  void onError();
+  void flush();
+  void scheduleFlush();
+  void fail(const std::string &Reason);
+  void afterFlush();
+
+  EventLoop &Loop;
+  Poco::Net::StreamSocket Socket;
+  std::shared_ptr<Hooks> Callbacks;
+  std::string Out;
+  std::size_t Sent = 0;
+  std::uint64_t TotalIn = 0;
+  std::uint64_t TotalOut = 0;
+  bool Connected = true;
+  bool Closed = false;
+  bool FlushScheduled = false;
+  bool AboveHighWater = false;
+  bool Finishing = false;
+};
+
+} // namespace amaranthward
+
+#endif
