--- a/src/libcontrol/applyconfiguration.cpp
+++ b/src/libcontrol/applyconfiguration.cpp
@@ -64,8 +64,7 @@
   return std::nullopt;
 }
 
-ApplyOutcome ApplyConfiguration::execute(ControlData &Data,
-                                         Revision At) const {
+ApplyOutcome ApplyConfiguration::execute(ControlData &Data, Revision At) const {
   if (auto Decided = this->decidedAlready(Data))
     return *Decided;
   AcceptedSet Accepted{this->Set.Version, this->Digest, At, this->SubmittedAt};
--- a/src/libcontrol/controldatacodec.cpp
+++ b/src/libcontrol/controldatacodec.cpp
@@ -5,9 +5,7 @@
 
 namespace {
 
-std::int64_t microseconds(WallTime At) {
-  return At.time_since_epoch().count();
-}
+std::int64_t microseconds(WallTime At) { return At.time_since_epoch().count(); }
 
 WallTime wallTimeAt(const Json &Object, const char *Key) {
   auto Found = Object.find(Key);
@@ -60,12 +58,9 @@
 }
 
 Json encode(const MoveEvent &Event) {
-  return {{"seq", Event.Sequence},
-          {"id", Event.MoveId},
-          {"service", Event.Service.str()},
-          {"phase", toString(Event.Phase)},
-          {"reason", Event.Reason},
-          {"share", Event.InForce.parts()},
+  return {{"seq", Event.Sequence},          {"id", Event.MoveId},
+          {"service", Event.Service.str()}, {"phase", toString(Event.Phase)},
+          {"reason", Event.Reason},         {"share", Event.InForce.parts()},
           {"at", microseconds(Event.At)}};
 }
 
@@ -106,13 +101,11 @@
 } // namespace
 
 Json ControlData::toJson(const ControlData &Data) {
-  Json Value = {{"applied", Data.Applied.value()},
-                {"changed", Data.Changed.value()},
-                {"last_event", Data.LastEvent},
-                {"history", Json::array()},
-                {"services", Json::object()},
-                {"events", Json::array()},
-                {"bad", encodeMarks(Data.BadMarks)}};
+  Json Value = {
+      {"applied", Data.Applied.value()},  {"changed", Data.Changed.value()},
+      {"last_event", Data.LastEvent},     {"history", Json::array()},
+      {"services", Json::object()},       {"events", Json::array()},
+      {"bad", encodeMarks(Data.BadMarks)}};
   if (Data.Current)
     Value["current"] = amaranthward::toJson(*Data.Current);
   for (const AcceptedSet &Set : Data.History)
--- /dev/null
+++ b/src/libcontrol/controlservice.cpp
@@ -0,0 +1,268 @@
+#include "libcontrol/controlservice.h"
+
+#include "libconfig/configurationreader.h"
+#include "libcore/log.h"
+#include "libdistribution/membercodec.h"
+
+namespace amaranthward {
+
+namespace {
+
+// Name under which submitted text appears in findings.
+constexpr const char *SubmittedFile = "configuration";
+
+} // namespace
+
+ControlService::ControlService(ControlServiceHooks Hooks, ControlState State,
+                               MoveDriver Driver, StatePublisher Publisher)
+    : Hooks(std::move(Hooks)), State(std::move(State)),
+      Driver(std::move(Driver)), Publisher(std::move(Publisher)) {}
+
+Result<std::unique_ptr<ControlService>>
+ControlService::create(ReplicaOptions Replication, ControlServiceHooks Hooks) {
+  auto State = ControlState::create();
+  if (!State)
+    return tl::make_unexpected(State.error());
+  auto Driver = MoveDriver::create();
+  if (!Driver)
+    return tl::make_unexpected(Driver.error());
+  auto Publisher = StatePublisher::create();
+  if (!Publisher)
+    return tl::make_unexpected(Publisher.error());
+  std::unique_ptr<ControlService> Service(
+      new ControlService(std::move(Hooks), std::move(*State),
+                         std::move(*Driver), std::move(*Publisher)));
+  if (auto Started = Service->start(std::move(Replication)); !Started)
+    return tl::make_unexpected(Started.error());
+  return Service;
+}
+
+Result<void> ControlService::start(ReplicaOptions Replication) {
+  this->ReplicaNameText = Replication.Self.str();
+  auto SessionsMade = SessionTable::create({});
+  if (!SessionsMade)
+    return tl::make_unexpected(SessionsMade.error());
+  this->Sessions = std::move(*SessionsMade);
+  auto ServerMade =
+      SyncServer::create(this->Publisher.state(), {}, this->serverHooks());
+  if (!ServerMade)
+    return tl::make_unexpected(ServerMade.error());
+  this->Server = std::move(*ServerMade);
+  auto ReplicaMade =
+      ConsensusReplica::create(std::move(Replication), this->replicaHooks());
+  if (!ReplicaMade)
+    return tl::make_unexpected(ReplicaMade.error());
+  this->Replica = std::move(*ReplicaMade);
+  return {};
+}
+
+ReplicaHooks ControlService::replicaHooks() {
+  ReplicaHooks Made;
+  Made.Send = this->Hooks.SendToReplica;
+  Made.Apply = [this](LogIndex At, Term, const std::string &Payload) {
+    this->State.apply(At, Payload);
+    if (this->Publisher.publish(this->State.data()))
+      this->Server->wake(this->Hooks.Now());
+    this->changed();
+  };
+  Made.TakeSnapshot = [this] { return this->State.takeSnapshot(); };
+  Made.RestoreSnapshot = [this](const std::string &Text, LogIndex) {
+    auto Restored = this->State.restoreSnapshot(Text);
+    if (!Restored) {
+      logFor("control")->error("{}.", Restored.error().Message);
+      return;
+    }
+    this->Publisher.publishWhole(this->State.data());
+  };
+  Made.Now = this->Hooks.Now;
+  Made.Random = this->Hooks.Random;
+  Made.OnRoleChange = [this] { this->onRoleChange(); };
+  return Made;
+}
+
+SyncServerHooks ControlService::serverHooks() {
+  SyncServerHooks Made;
+  Made.ConfirmedSince = [this](Instant Since) -> std::optional<Revision> {
+    if (this->ConfirmedSince && *this->ConfirmedSince >= Since)
+      return this->Publisher.state().inForce();
+    this->startConfirmation();
+    return std::nullopt;
+  };
+  Made.ParentsFor = [this](const SyncRequest &Request) {
+    return this->parentsFor(Request);
+  };
+  Made.OnUplink = [this](Urgency How) { this->onUplink(How); };
+  Made.Random = this->Hooks.Random;
+  return Made;
+}
+
+void ControlService::tick() {
+  Instant Now = this->Hooks.Now();
+  this->Replica->tick();
+  this->Server->tick(Now);
+  if (!this->isLeader())
+    return;
+  this->publishMembers(this->Sessions->tick(Now));
+  if (Now >= this->NextDecision) {
+    this->NextDecision = Now + DecisionInterval;
+    this->decideMoves();
+  }
+}
+
+void ControlService::submit(const std::string &Yaml,
+                            std::function<void(SubmitAnswer)> OnDone) {
+  // The deadline is checked after the version, because a resend after a lost
+  // answer may arrive when the deadline has passed.
+  ReadOutcome Read = readConfiguration(Yaml, SubmittedFile, std::nullopt);
+  if (!Read.Set)
+    return OnDone({Read.All, std::nullopt, std::nullopt});
+  if (!this->isLeader())
+    return OnDone(
+        {{}, std::nullopt, Error{ErrorCode::Refused, "not the leader"}});
+  auto Command = ApplyConfiguration::create(*Read.Set, this->Hooks.Wall());
+  if (auto Decided = Command->decidedAlready(this->State.data()))
+    return OnDone({{}, Decided, std::nullopt});
+  ReadOutcome Timed =
+      readConfiguration(Yaml, SubmittedFile, this->Hooks.Wall());
+  if (!Timed.Set)
+    return OnDone({Timed.All, std::nullopt, std::nullopt});
+  auto Done = [this, OnDone](Result<LogIndex> At) {
+    if (!At)
+      return OnDone({{}, std::nullopt, At.error()});
+    auto Outcome = this->State.outcomeOf(*At);
+    if (Outcome)
+      return OnDone({{}, Outcome, std::nullopt});
+    OnDone({{},
+            std::nullopt,
+            Error{ErrorCode::Unavailable, "the outcome is not known here"}});
+  };
+  this->Replica->propose(dumpJson(Command->toJson()), std::move(Done));
+}
+
+void ControlService::receive(const ReplicaName &From, const Json &Message) {
+  this->Replica->receive(From, Message);
+}
+
+void ControlService::sync(const SyncRequest &Request,
+                          SyncServer::Complete OnComplete) {
+  this->Publisher.state().Cluster = this->Replica->clusterId();
+  this->Server->handle(Request, this->Hooks.Now(), std::move(OnComplete));
+}
+
+void ControlService::abandonSync(const NodeName &Node, std::uint64_t Sequence) {
+  this->Server->abandon(Node, Sequence);
+}
+
+void ControlService::handOver() {
+  if (!this->isLeader())
+    return;
+  auto Target = this->Replica->transferLeadership();
+  if (Target)
+    logFor("control")->info("Leadership goes to {}.", Target->str());
+  else
+    logFor("control")->warn("Leadership stays here: {}.",
+                            Target.error().Message);
+}
+
+void ControlService::onRoleChange() {
+  // Called during creation too, when the replica is not assigned yet.
+  if (!this->Replica)
+    return;
+  bool Leads = this->Replica->isLeader();
+  if (Leads && !this->WasLeader) {
+    this->Sessions->becomeLeader(this->Replica->term(),
+                                 this->Publisher.state().Members,
+                                 this->Hooks.Now());
+    this->Driver.reset();
+    logFor("control")->info("This replica leads in term {}.",
+                            this->Replica->term().value());
+  }
+  if (!Leads)
+    this->ConfirmedSince.reset();
+  this->WasLeader = Leads;
+  this->changed();
+}
+
+void ControlService::onUplink(Urgency) {
+  if (!this->isLeader())
+    return;
+  UplinkBatch Batch = this->Server->takeUplink();
+  for (const auto &[Node, One] : Batch.observations())
+    this->Driver.observe(One.Counters, this->State.data());
+  for (const auto &[Node, Refusal] : Batch.refusals())
+    logFor("control")->warn("Node {} refused revision {}: {}.", Node.str(),
+                            Refusal.Refused.value(), Refusal.Reason);
+  this->publishMembers(this->Sessions->absorb(Batch, this->Hooks.Now()));
+  this->changed();
+}
+
+void ControlService::publishMembers(Urgency How) {
+  Instant Now = this->Hooks.Now();
+  if (!this->Sessions->publish(this->Publisher.state().Members, Now))
+    return;
+  if (How == Urgency::Immediate)
+    this->Server->wakeAll(Now);
+  else
+    this->Server->wake(Now);
+}
+
+void ControlService::decideMoves() {
+  auto Payloads = this->Driver.decide(this->State.data(), this->members(),
+                                      this->Hooks.Now(), this->Hooks.Wall());
+  for (std::string &Payload : Payloads)
+    this->propose(std::move(Payload));
+}
+
+void ControlService::propose(std::string Payload) {
+  this->Replica->propose(std::move(Payload), [](Result<LogIndex> At) {
+    if (!At)
+      logFor("moves")->warn("A decision was not recorded: {}.",
+                            At.error().Message);
+  });
+}
+
+void ControlService::startConfirmation() {
+  if (this->Confirming || !this->isLeader())
+    return;
+  this->Confirming = true;
+  this->ConfirmingSince = this->Hooks.Now();
+  this->Replica->confirmRead([this](Result<LogIndex> At) {
+    this->Confirming = false;
+    if (!At)
+      return;
+    this->ConfirmedSince = this->ConfirmingSince;
+    this->Server->wake(this->Hooks.Now());
+  });
+}
+
+std::vector<ParentCandidate>
+ControlService::parentsFor(const SyncRequest &Request) {
+  const ResourceTable &Members = this->Publisher.state().Members;
+  if (this->TreesVersion != Members.current()) {
+    this->Trees.clear();
+    this->TreesVersion = Members.current();
+  }
+  auto Found = this->Trees.find(Request.Zone);
+  if (Found == this->Trees.end()) {
+    auto Made = RelayTree::create(Request.Zone, this->members());
+    if (!Made)
+      return {};
+    Found = this->Trees.emplace(Request.Zone, std::move(*Made)).first;
+  }
+  return Found->second.candidatesFor(Request.Node);
+}
+
+std::vector<Member> ControlService::members() const {
+  return membersIn(this->Publisher.state().Members.resources());
+}
+
+InForceCount ControlService::inForce() const {
+  return this->Sessions->inForce(this->Publisher.state().inForce());
+}
+
+void ControlService::changed() {
+  if (this->Hooks.OnChange)
+    this->Hooks.OnChange();
+}
+
+} // namespace amaranthward
--- a/src/libcontrol/recordmove.cpp
+++ b/src/libcontrol/recordmove.cpp
@@ -75,9 +75,8 @@
 }
 
 Json CloseMove::toJson() const {
-  return {{"kind", Kind},
-          {"service", this->Service.str()},
-          {"move", this->MoveId}};
+  return {
+      {"kind", Kind}, {"service", this->Service.str()}, {"move", this->MoveId}};
 }
 
 bool CloseMove::execute(ControlData &Data, Revision At) const {
