--- a/src/libdistribution/uplinkbatch.h
+++ b/src/libdistribution/uplinkbatch.h
@@ -26,7 +26,7 @@
 };
 
 /// Cumulative counters of one reporter, opaque to this library.
-struct Observation {
+struct ReporterCounters {
   NodeName Reporter;
   Incarnation Start;
   Json Counters;
@@ -39,8 +39,10 @@
   std::string Reason;
 };
 
-/// How soon a batch should travel upward.
-enum class Urgency { None, Soon, Immediate };
+/// How soon a batch should travel upward: with the next request, within the
+/// linger time of observations, within the linger time of acknowledgements and
+/// announcements, or at once.
+enum class Urgency { None, Later, Soon, Immediate };
 
 /// What a subtree has to say to the leader, without duplicates. Merging is
 /// idempotent and independent of order.
@@ -49,7 +51,7 @@
   /// Renews \a Session and states the revision that its node has in force.
   void renew(SessionId Session, Revision InForce, Instant Received);
   void announce(const Announcement &Subject);
-  void observe(const Observation &Subject);
+  void observe(const ReporterCounters &Subject);
   void refuse(const RefusedRevision &Subject);
   void merge(const UplinkBatch &Other);
   /// Drops renewals received before \a Oldest, so that a message that was
@@ -67,7 +69,7 @@
   const std::map<NodeName, Announcement> &announcements() const {
     return this->Announcements;
   }
-  const std::map<NodeName, Observation> &observations() const {
+  const std::map<NodeName, ReporterCounters> &observations() const {
     return this->Observations;
   }
   const std::map<NodeName, RefusedRevision> &refusals() const {
@@ -77,10 +79,15 @@
 private:
   std::map<SessionId, Renewal> Renewals;
   std::map<NodeName, Announcement> Announcements;
-  std::map<NodeName, Observation> Observations;
+  std::map<NodeName, ReporterCounters> Observations;
   std::map<NodeName, RefusedRevision> Refusals;
 };
 
+Json toJson(const UplinkBatch &Batch);
+/// Fails with InvalidArgument on a malformed entry. Renewals are taken as
+/// received at \a Now.
+Result<UplinkBatch> uplinkBatchFromJson(const Json &Value, Instant Now);
+
 } // namespace amaranthward
 
 #endif
