--- /dev/null
+++ b/src/amaranthward/controlprocess.cpp
@@ -0,0 +1,167 @@
+#include "amaranthward/controlprocess.h"
+
+#include "libcore/log.h"
+
+namespace amaranthward {
+
+Result<std::unique_ptr<ControlProcess>>
+ControlProcess::create(EventLoop &Loop, ControlSettings Settings) {
+  std::unique_ptr<ControlProcess> Process(
+      new ControlProcess(Loop, std::move(Settings)));
+  if (auto Started = Process->start(); !Started)
+    return tl::make_unexpected(Started.error());
+  return Process;
+}
+
+Result<void> ControlProcess::start() {
+  auto ClientMade = HttpClient::create(this->Loop, {});
+  if (!ClientMade)
+    return tl::make_unexpected(ClientMade.error());
+  this->Client = std::move(*ClientMade);
+
+  ReplicaOptions Replication;
+  Replication.Self = this->Settings.Name;
+  for (const ControlPeer &Peer : this->Settings.Peers)
+    Replication.Peers.push_back(Peer.Name);
+  Replication.DataFolder = this->Settings.DataFolder;
+  ControlServiceHooks Hooks;
+  Hooks.SendToReplica = [this](const ReplicaName &To, const Json &Message) {
+    this->sendToReplica(To, Message);
+  };
+  Hooks.OnChange = [this] {
+    if (this->Operators)
+      this->Operators->onChange();
+  };
+  Hooks.Now = [this] { return this->Loop.now(); };
+  Hooks.Wall = wallNow;
+  Hooks.Random = systemRandom();
+  auto ServiceMade =
+      ControlService::create(std::move(Replication), std::move(Hooks));
+  if (!ServiceMade)
+    return tl::make_unexpected(ServiceMade.error());
+  this->Service = std::move(*ServiceMade);
+
+  auto OperatorsMade = OperatorApi::create(
+      this->Loop, *this->Service, this->Registry,
+      [this](const ReplicaName &Name) { return this->addressOf(Name); });
+  if (!OperatorsMade)
+    return tl::make_unexpected(OperatorsMade.error());
+  this->Operators = std::move(*OperatorsMade);
+  this->addRoutes();
+
+  HttpServerLimits Limits;
+  Limits.MaxConnections = 4096;
+  auto ServerMade = HttpServer::create(
+      this->Loop, this->Settings.Listen, Limits,
+      [this](auto Exchange) { this->Router.handle(Exchange); });
+  if (!ServerMade)
+    return tl::make_unexpected(ServerMade.error());
+  this->Server = std::move(*ServerMade);
+  this->Loop.every(TickInterval, [this] { this->tick(); });
+  logFor("control")->info("Replica {} listens on {}.",
+                          this->Settings.Name.str(),
+                          this->Server->address().str());
+  return {};
+}
+
+void ControlProcess::addRoutes() {
+  this->Operators->addRoutes(this->Router);
+  this->Router.post("/v1/consensus", MaxReplicaMessageBytes,
+                    [this](auto Exchange, std::string Body) {
+                      this->receive(Exchange, Body);
+                    });
+  this->Router.post(
+      "/v1/sync", MaxJsonBodyBytes,
+      [this](auto Exchange, std::string Body) { this->sync(Exchange, Body); });
+}
+
+void ControlProcess::sendToReplica(const ReplicaName &To, const Json &Message) {
+  std::size_t &Count = this->UnderWay[To];
+  Endpoint Address = this->addressOf(To);
+  if (Address.empty() || Count >= MaxMessagesUnderWay)
+    return;
+  ++Count;
+  HttpRequestHead Head;
+  Head.Method = "POST";
+  Head.Target = "/v1/consensus";
+  Head.Headers.add("Content-Type", "application/json");
+  Json Envelope = {{"from", this->Settings.Name.str()}, {"message", Message}};
+  std::string Body = dumpJson(Envelope);
+  this->Registry.counter("replica_message_bytes_total") += Body.size();
+  this->Client->call(
+      Address, Head, std::move(Body), MessageTimeout, MaxJsonBodyBytes,
+      [this, To](Result<HttpResponse>) { --this->UnderWay[To]; });
+}
+
+void ControlProcess::receive(std::shared_ptr<ServerExchange> Exchange,
+                             const std::string &Body) {
+  auto Envelope = parseJson(Body);
+  if (!Envelope || !Envelope->is_object() || !Envelope->contains("message"))
+    return respondError(*Exchange, 400, "body is not a replica message");
+  respond(*Exchange, 204, "", "");
+  this->Service->receive(ReplicaName(textAt(*Envelope, "from")),
+                         (*Envelope)["message"]);
+  this->tickSoon();
+}
+
+void ControlProcess::sync(std::shared_ptr<ServerExchange> Exchange,
+                          const std::string &Body) {
+  if (!this->Service->isLeader())
+    return this->Operators->redirect(*Exchange);
+  auto Value = parseJson(Body);
+  if (!Value)
+    return respondError(*Exchange, 400, Value.error().Message);
+  auto Request = syncRequestFromJson(*Value, this->Loop.now());
+  if (!Request)
+    return respondError(*Exchange, 400, Request.error().Message);
+  this->Registry.counter("sync_bytes_in_total") += Body.size();
+  ServerExchange::Hooks Hooks;
+  Hooks.OnAborted = [this, Node = Request->Node, Sequence = Request->Sequence] {
+    this->Service->abandonSync(Node, Sequence);
+  };
+  Exchange->setHooks(std::move(Hooks));
+  this->Service->sync(*Request, [this, Exchange](const SyncResponse &Answer) {
+    std::string Text = dumpJson(toJson(Answer));
+    this->Registry.counter("sync_bytes_out_total") += Text.size();
+    this->Registry.counter("sync_responses_total") += 1;
+    Exchange->setHooks({});
+    respond(*Exchange, 200, "application/json", Text);
+  });
+  this->tickSoon();
+}
+
+void ControlProcess::tickSoon() {
+  if (this->TickPending)
+    return;
+  this->TickPending = true;
+  this->Loop.post([this] { this->tick(); });
+}
+
+void ControlProcess::tick() {
+  this->TickPending = false;
+  this->Service->tick();
+  if (!this->StopBy)
+    return;
+  if (!this->Service->isLeader() || this->Loop.now() >= *this->StopBy)
+    this->Loop.stop();
+}
+
+void ControlProcess::beginStop() {
+  if (this->StopBy)
+    return;
+  logFor("control")->info("A planned stop begins.");
+  this->StopBy = this->Loop.now() + HandOverTime;
+  this->Service->handOver();
+}
+
+Endpoint ControlProcess::addressOf(const ReplicaName &Name) const {
+  if (Name == this->Settings.Name)
+    return this->Settings.Advertise.value_or(this->Settings.Listen);
+  for (const ControlPeer &Peer : this->Settings.Peers) {
+    if (Peer.Name == Name)
+      return Peer.Address;
+  }
+  return Endpoint();
+}
+
+} // namespace amaranthward
--- a/src/libcontrol/movedriver.cpp
+++ b/src/libcontrol/movedriver.cpp
@@ -142,7 +142,7 @@
     return nullptr;
   if (Found == this->Trackers.end() || Found->second.MoveId != Move.State.Id)
     this->Store.forget(Service);
-  Tracker Fresh{Move.State.Id, Routes, std::move(*Analysis)};
+  Tracker Fresh(Move.State.Id, std::move(Routes), std::move(*Analysis));
   return &this->Trackers.insert_or_assign(Service, std::move(Fresh))
               .first->second;
 }
--- a/src/libcontrol/movedriver.h
+++ b/src/libcontrol/movedriver.h
@@ -41,6 +41,12 @@
     std::string MoveId;
     std::vector<RouteName> Routes;
     VersionAnalysis Analysis;
+
+    Tracker(std::string MoveId, std::vector<RouteName> Routes,
+            VersionAnalysis Analysis)
+        : MoveId(std::move(MoveId)), Routes(std::move(Routes)),
+          Analysis(std::move(Analysis)) {}
+
     std::uint64_t LastCalls = 0;
     double CallsPerSecond = 0;
     double MeanLatencySeconds = 0;
