--- a/src/libconfig/configurationreader.h
+++ b/src/libconfig/configurationreader.h
@@ -10,7 +10,7 @@
 namespace amaranthward {
 
 /// A configuration set longer than this many bytes is refused.
-inline constexpr std::size_t MaxConfigurationBytes = 4 * 1024 * 1024;
+inline constexpr std::size_t MaxConfigurationBytes = 4UL * 1024 * 1024;
 
 struct ReadOutcome {
   /// Present only when no finding is an error.
--- /dev/null
+++ b/src/libconfig/speccodec.cpp
@@ -0,0 +1,154 @@
+#include "libconfig/speccodec.h"
+
+#include "libconfig/jsonfields.h"
+#include <algorithm>
+
+namespace amaranthward {
+
+namespace {
+
+template <typename Id> Json sortedNames(const std::vector<Id> &Names) {
+  std::vector<std::string> Sorted;
+  Sorted.reserve(Names.size());
+  for (const Id &Name : Names)
+    Sorted.push_back(Name.str());
+  std::sort(Sorted.begin(), Sorted.end());
+  return Json(Sorted);
+}
+
+template <typename Id>
+std::vector<Id> idsOf(const std::vector<std::string> &Texts) {
+  return std::vector<Id>(Texts.begin(), Texts.end());
+}
+
+} // namespace
+
+Json toJson(const ZoneSpec &Zone) {
+  return {{"region", Zone.Region.str()}, {"in_service", Zone.InService}};
+}
+
+Result<ZoneSpec> zoneFromJson(const ZoneName &Name, const Json &Value) {
+  JsonFields Fields(Value);
+  ZoneSpec Zone;
+  Zone.Name = Name;
+  Zone.Region = RegionName(Fields.text("region"));
+  Zone.InService = Fields.boolean("in_service");
+  if (!Fields.good())
+    return Fields.failure();
+  return Zone;
+}
+
+Json toJson(const ServiceSpec &Service) {
+  return {{"versions", sortedNames(Service.Versions)},
+          {"depends_on", sortedNames(Service.DependsOn)},
+          {"limits",
+           {{"slots", Service.Limits.Slots},
+            {"connections", Service.Limits.Connections},
+            {"queue", Service.Limits.Queue},
+            {"warm_up_us", Service.Limits.WarmUp.count()}}}};
+}
+
+Result<ServiceSpec> serviceFromJson(const ServiceName &Name,
+                                    const Json &Value) {
+  JsonFields Fields(Value);
+  ServiceSpec Service;
+  Service.Name = Name;
+  Service.Versions = idsOf<VersionName>(Fields.texts("versions"));
+  Service.DependsOn = idsOf<ServiceName>(Fields.texts("depends_on"));
+  JsonFields Limits(Fields.object("limits"));
+  Service.Limits.Slots = Limits.number32("slots");
+  Service.Limits.Connections = Limits.number32("connections");
+  Service.Limits.Queue = Limits.number32("queue");
+  Service.Limits.WarmUp = Limits.duration("warm_up_us");
+  if (!Fields.good())
+    return Fields.failure();
+  if (!Limits.good())
+    return Limits.failure();
+  return Service;
+}
+
+Json toJson(const RouteSpec &Route) {
+  return {
+      {"method", Route.Method},         {"path_prefix", Route.PathPrefix},
+      {"service", Route.Service.str()}, {"class", toString(Route.Class)},
+      {"idempotent", Route.Idempotent}, {"timeout_us", Route.Timeout.count()}};
+}
+
+Result<RouteSpec> routeFromJson(const RouteName &Name, const Json &Value) {
+  JsonFields Fields(Value);
+  RouteSpec Route;
+  Route.Name = Name;
+  Route.Method = Fields.text("method");
+  Route.PathPrefix = Fields.text("path_prefix");
+  Route.Service = ServiceName(Fields.text("service"));
+  auto Class = callClassOf(Fields.text("class"));
+  Route.Class = Class.value_or(CallClass::Interactive);
+  Route.Idempotent = Fields.boolean("idempotent");
+  Route.Timeout = Fields.duration("timeout_us");
+  if (!Fields.good())
+    return Fields.failure();
+  if (!Class || !Route.PathPrefix.starts_with('/'))
+    return fail(ErrorCode::InvalidArgument, "class or path_prefix is invalid");
+  return Route;
+}
+
+Json toJson(const MeshLimits &Limits) {
+  return {{"retry_budget", Limits.RetryBudget.parts()},
+          {"idempotency_retention_us", Limits.IdempotencyRetention.count()}};
+}
+
+Result<MeshLimits> meshLimitsFromJson(const Json &Value) {
+  JsonFields Fields(Value);
+  MeshLimits Limits;
+  Limits.RetryBudget = Fields.share("retry_budget");
+  Limits.IdempotencyRetention = Fields.duration("idempotency_retention_us");
+  if (!Fields.good())
+    return Fields.failure();
+  return Limits;
+}
+
+Json toJson(const std::map<VersionName, Share> &Split) {
+  Json Value = Json::object();
+  for (const auto &[Version, Part] : Split)
+    Value[Version.str()] = Part.parts();
+  return Value;
+}
+
+Result<std::map<VersionName, Share>> splitFromJson(const Json &Value) {
+  JsonFields Fields(Value);
+  std::map<VersionName, Share> Split;
+  if (Value.is_object()) {
+    for (const auto &[Version, Part] : Value.items())
+      Split[VersionName(Version)] = Fields.share(Version.c_str());
+  }
+  if (!Fields.good())
+    return Fields.failure();
+  return Split;
+}
+
+Json toJson(const MoveSpec &Move) {
+  Json Value = {{"probation_us", Move.Probation.count()}};
+  if (Move.FinishBy)
+    Value["finish_by_us"] = Move.FinishBy->time_since_epoch().count();
+  if (Move.FinishWithin)
+    Value["finish_within_us"] = Move.FinishWithin->count();
+  return Value;
+}
+
+Result<MoveSpec> moveFromJson(const Json &Value) {
+  JsonFields Fields(Value);
+  MoveSpec Move;
+  Move.Probation = Fields.duration("probation_us");
+  if (Fields.has("finish_by_us"))
+    Move.FinishBy = WallTime(Fields.duration("finish_by_us"));
+  if (Fields.has("finish_within_us"))
+    Move.FinishWithin = Fields.duration("finish_within_us");
+  if (!Fields.good())
+    return Fields.failure();
+  if (Move.FinishBy.has_value() == Move.FinishWithin.has_value())
+    return fail(ErrorCode::InvalidArgument,
+                "a move must have exactly one deadline");
+  return Move;
+}
+
+} // namespace amaranthward
