--- /dev/null
+++ b/src/libpolicy/latencyhistogram.cpp
@@ -0,0 +1,117 @@
+#include "libpolicy/latencyhistogram.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace amaranthward {
+namespace {
+
+constexpr double FirstEdgeMicros = 64;
+constexpr double BucketsPerOctave = 4;
+/// Keeps sums over any number of reporters within 64 bits.
+constexpr std::uint64_t LargestCount = std::uint64_t(1) << 48;
+
+using Edges = std::array<Duration::rep, LatencyHistogram::Buckets>;
+
+Edges computeEdges() {
+  Edges All = {};
+  for (std::size_t Bucket = 1; Bucket < All.size(); ++Bucket) {
+    double Octaves = static_cast<double>(Bucket - 1) / BucketsPerOctave;
+    All[Bucket] = std::llround(FirstEdgeMicros * std::exp2(Octaves));
+  }
+  return All;
+}
+
+const Edges &edges() {
+  static const Edges All = computeEdges();
+  return All;
+}
+
+} // namespace
+
+std::size_t LatencyHistogram::bucketOf(Duration Latency) {
+  const Edges &All = edges();
+  auto Above = std::upper_bound(All.begin() + 1, All.end(), Latency.count());
+  return static_cast<std::size_t>(Above - All.begin()) - 1;
+}
+
+Duration LatencyHistogram::lowerEdge(std::size_t Bucket) {
+  return Duration(edges()[std::min(Bucket, Buckets - 1)]);
+}
+
+void LatencyHistogram::add(Duration Latency, std::uint64_t Count) {
+  this->Counts[bucketOf(Latency)] += Count;
+}
+
+void LatencyHistogram::add(const LatencyHistogram &Other) {
+  for (std::size_t Bucket = 0; Bucket < Buckets; ++Bucket)
+    this->Counts[Bucket] += Other.Counts[Bucket];
+}
+
+void LatencyHistogram::raiseTo(const LatencyHistogram &Other) {
+  for (std::size_t Bucket = 0; Bucket < Buckets; ++Bucket)
+    this->Counts[Bucket] = std::max(this->Counts[Bucket], Other.Counts[Bucket]);
+}
+
+LatencyHistogram LatencyHistogram::since(const LatencyHistogram &Before) const {
+  LatencyHistogram Difference;
+  for (std::size_t Bucket = 0; Bucket < Buckets; ++Bucket)
+    if (this->Counts[Bucket] > Before.Counts[Bucket])
+      Difference.Counts[Bucket] = this->Counts[Bucket] - Before.Counts[Bucket];
+  return Difference;
+}
+
+void LatencyHistogram::halve() {
+  for (std::uint64_t &Count : this->Counts)
+    Count /= 2;
+}
+
+std::uint64_t LatencyHistogram::total() const { return this->countFrom(0); }
+
+std::uint64_t LatencyHistogram::countFrom(std::size_t Bucket) const {
+  auto First = this->Counts.begin() + std::min(Bucket, Buckets);
+  return std::accumulate(First, this->Counts.end(), std::uint64_t(0));
+}
+
+std::size_t LatencyHistogram::bucketAbove(double Part) const {
+  double Allowed = Part * static_cast<double>(this->total());
+  double Above = 0;
+  for (std::size_t Bucket = Buckets; Bucket > 0; --Bucket) {
+    Above += static_cast<double>(this->Counts[Bucket - 1]);
+    if (Above > Allowed)
+      return Bucket;
+  }
+  return 0;
+}
+
+Json LatencyHistogram::toJson() const {
+  Json Pairs = Json::array();
+  for (std::size_t Bucket = 0; Bucket < Buckets; ++Bucket)
+    if (this->Counts[Bucket] > 0) {
+      Pairs.push_back(Bucket);
+      Pairs.push_back(this->Counts[Bucket]);
+    }
+  return Pairs;
+}
+
+Result<LatencyHistogram> LatencyHistogram::fromJson(const Json &Value) {
+  if (!Value.is_array() || Value.size() % 2 != 0)
+    return fail(ErrorCode::InvalidArgument,
+                "histogram is not a list of pairs of bucket and count");
+  LatencyHistogram Read;
+  for (std::size_t At = 0; At < Value.size(); At += 2) {
+    if (!Value[At].is_number_unsigned() || !Value[At + 1].is_number_unsigned())
+      return fail(ErrorCode::InvalidArgument,
+                  "histogram holds something other than a count");
+    auto Bucket = Value[At].get<std::uint64_t>();
+    auto Count = Value[At + 1].get<std::uint64_t>();
+    if (Bucket >= Buckets || Count > LargestCount)
+      return fail(ErrorCode::InvalidArgument,
+                  "histogram bucket or count is out of range");
+    Read.Counts[Bucket] = Count;
+  }
+  return Read;
+}
+
+} // namespace amaranthward
--- a/src/libpolicy/latencyhistogram.h
+++ b/src/libpolicy/latencyhistogram.h
@@ -9,7 +9,7 @@
 namespace amaranthward {
 
 /// Counts of latencies in logarithmically spaced buckets, four per octave.
-/// Bucket 0 holds everything below 64 us, the last one everything above 2 min.
+/// Bucket 0 holds everything below 64 us, the last one everything above 134 s.
 class LatencyHistogram {
 public:
   static constexpr std::size_t Buckets = 86;
@@ -23,6 +23,10 @@
   /// Raises each bucket to the count in \a Other where that is more.
   void raiseTo(const LatencyHistogram &Other);
 
+  /// What was added after \a Before; a bucket that fell counts as unchanged.
+  LatencyHistogram since(const LatencyHistogram &Before) const;
+  void halve();
+
   std::uint64_t at(std::size_t Bucket) const { return this->Counts[Bucket]; }
   std::uint64_t total() const;
   /// Number of latencies in \a Bucket and above.
--- a/src/libpolicy/localreflex.h
+++ b/src/libpolicy/localreflex.h
@@ -12,7 +12,7 @@
 /// ends when a newer decision of the leader arrives.
 class LocalReflex {
 public:
-  static Result<LocalReflex> create(std::vector<RouteName> Routes,
+  static Result<LocalReflex> create(const std::vector<RouteName> &Routes,
                                     AnalysisOptions Options = {});
 
   /// Takes the leader's decision in force at this node. A higher \a Decided
@@ -29,11 +29,8 @@
   const AnalysisVerdict &verdict() const { return this->Analysis.verdict(); }
 
 private:
-  LocalReflex(std::vector<RouteName> Routes, AnalysisOptions Options,
-              VersionAnalysis Analysis);
+  explicit LocalReflex(VersionAnalysis Analysis);
 
-  std::vector<RouteName> Routes;
-  AnalysisOptions Options;
   VersionAnalysis Analysis;
   Revision Followed;
   Share Leaders;
--- /dev/null
+++ b/src/libpolicy/movepacer.cpp
@@ -0,0 +1,338 @@
+#include "libpolicy/movepacer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace amaranthward {
+namespace {
+
+/// Step intervals by which the plan reaches the target ahead of time, because
+/// a bounded step may fall short of the plan.
+constexpr int PlanMargin = 5;
+/// Gain at which the plan begins while the rate of calls is unknown, in parts
+/// per 10,000.
+constexpr double PlanBegin = 10;
+/// Time for which the first step waits for the rate of calls to be known.
+constexpr Duration RateWait = std::chrono::seconds(3);
+/// Largest factor of one step when the time left demands more than StepFactor.
+constexpr double UrgentFactor = 8;
+/// Smallest relative growth worth a record in the log.
+constexpr double SmallestGrowth = 1.25;
+
+double gainOf(const MoveState &State, const Split &Shares) {
+  return static_cast<double>(shareIn(Shares, State.Driver).parts()) -
+         static_cast<double>(shareIn(State.Fallback, State.Driver).parts());
+}
+
+MoveDecision keep(const MoveState &State) {
+  return {MoveAction::Keep, State, false};
+}
+
+MoveDecision endAs(const MoveState &State, MovePhase Phase, MoveReason Reason,
+                   WallTime Now) {
+  MoveDecision Decision = {MoveAction::End, State, false};
+  Decision.Next.Phase = Phase;
+  Decision.Next.Reason = Reason;
+  Decision.Next.EndedAt = Now;
+  if (Phase == MovePhase::TakenBack)
+    Decision.Next.InForce = State.Fallback;
+  if (Phase == MovePhase::Done)
+    Decision.Next.InForce = State.To;
+  return Decision;
+}
+
+void recordEvidence(MoveState &State, const AnalysisVerdict &Verdict) {
+  State.Evidence.Calls = std::max(State.Evidence.Calls, Verdict.CandidateCalls);
+  State.Evidence.Good =
+      State.Evidence.Good || Verdict.Kind == Judgement::GoodSoFar;
+  if (!Verdict.Bad)
+    return;
+  State.Evidence.Good = false;
+  State.Evidence.BadRoute = Verdict.Bad->Route;
+  State.Evidence.BadKind = Verdict.Bad->Fault;
+}
+
+/// Whether the move's target is safe although its candidate is bad: it takes
+/// every share away from the candidate that it did not have when settled.
+bool leavesCandidate(const MoveState &State) {
+  return !State.NeedsEvidence && shareIn(State.To, State.Candidate) <=
+                                     shareIn(State.Fallback, State.Candidate);
+}
+
+MoveDecision decideBad(const MoveState &State, const MoveInputs &In) {
+  bool IsVerdict = In.Verdict.Kind == Judgement::Bad;
+  MoveReason Reason =
+      IsVerdict ? MoveReason::BadVersion : MoveReason::MarkedBad;
+  MoveDecision Decision =
+      leavesCandidate(State)
+          ? endAs(State, MovePhase::Done, MoveReason::TargetHeld, In.Now)
+          : endAs(State, MovePhase::TakenBack, Reason, In.Now);
+  recordEvidence(Decision.Next, In.Verdict);
+  Decision.MarkBad = IsVerdict;
+  return Decision;
+}
+
+bool hasCapacity(const Split &Shares, const MoveInputs &In) {
+  return std::all_of(Shares.begin(), Shares.end(), [&In](const auto &One) {
+    auto Found = In.Capacity.find(One.first);
+    return One.second == Share::none() ||
+           (Found != In.Capacity.end() && Found->second > 0);
+  });
+}
+
+MoveDecision decideDone(const MoveState &State, const MoveInputs &In) {
+  if (!MovePacer::isWatched(State, In.Now) || State.Candidate.empty() ||
+      In.Verdict.Kind != Judgement::Bad || !hasCapacity(State.Fallback, In))
+    return keep(State);
+  MoveDecision Decision = {MoveAction::Revert, State, true};
+  Decision.Next.InForce = State.Fallback;
+  Decision.Next.Reverted = true;
+  recordEvidence(Decision.Next, In.Verdict);
+  return Decision;
+}
+
+MoveDecision decideHolding(const MoveState &State, const MoveInputs &In) {
+  bool IsGood = In.Verdict.Kind == Judgement::GoodSoFar;
+  if (IsGood && In.Now - State.HeldSince >= State.holdTime()) {
+    MoveDecision Decision =
+        endAs(State, MovePhase::Done, MoveReason::TargetHeld, In.Now);
+    recordEvidence(Decision.Next, In.Verdict);
+    return Decision;
+  }
+  if (!IsGood || State.Evidence.Good)
+    return keep(State);
+  // A next leader may have to end the move on this record alone.
+  MoveDecision Decision = {MoveAction::SetShare, State, false};
+  recordEvidence(Decision.Next, In.Verdict);
+  return Decision;
+}
+
+/// The version that gains most and by how many parts.
+std::pair<VersionName, std::int64_t> largestGain(const Split &From,
+                                                 const Split &To) {
+  std::pair<VersionName, std::int64_t> Largest;
+  for (const auto &[Version, Parts] : To) {
+    std::int64_t Gain = std::int64_t(Parts.parts()) -
+                        std::int64_t(shareIn(From, Version).parts());
+    if (Gain > Largest.second)
+      Largest = {Version, Gain};
+  }
+  return Largest;
+}
+
+VersionName largestOther(const Split &Shares, const VersionName &Except) {
+  VersionName Largest;
+  Share Most;
+  for (const auto &[Version, Parts] : Shares)
+    if (Version != Except && Parts > Most) {
+      Largest = Version;
+      Most = Parts;
+    }
+  return Largest;
+}
+
+} // namespace
+
+const char *toString(MoveAction Action) {
+  switch (Action) {
+  case MoveAction::Keep:
+    return "keep";
+  case MoveAction::SetShare:
+    return "set_share";
+  case MoveAction::End:
+    return "end";
+  case MoveAction::Revert:
+    return "revert";
+  }
+  return "unknown";
+}
+
+Result<MovePacer> MovePacer::create(PacerOptions Options) {
+  if (Options.StepInterval <= Duration::zero() || Options.StepFactor <= 1 ||
+      Options.StepSize == Share::none() || Options.CapacityPart <= 0)
+    return fail(ErrorCode::InvalidArgument,
+                "options of the move pacer allow no step");
+  return MovePacer(Options);
+}
+
+Result<MoveStart> MovePacer::begin(WallTime Now, const MoveRequest &Wanted,
+                                   const Split &InForce,
+                                   const std::optional<MoveState> &Open) {
+  for (const Split *Shares : {&Wanted.To, &InForce})
+    if (auto Checked = checkSplit(*Shares); !Checked)
+      return fail(Checked.error().Code,
+                  "move \"" + Wanted.Id + "\": " + Checked.error().Message);
+  MoveStart Start;
+  bool Replaces = Open && !Open->ended();
+  if (Replaces)
+    Start.Superseded =
+        endAs(*Open, MovePhase::Superseded, MoveReason::NewTarget, Now).Next;
+  MoveState &Begun = Start.Begun;
+  Begun.Id = Wanted.Id;
+  Begun.Service = Wanted.Service;
+  Begun.From = Begun.InForce = InForce;
+  Begun.To = Wanted.To;
+  Begun.Fallback = Replaces ? Open->Fallback : InForce;
+  Begun.Driver = largestGain(InForce, Wanted.To).first;
+  Begun.Candidate = largestGain(Begun.Fallback, Wanted.To).first;
+  Begun.NeedsEvidence = !Begun.Candidate.empty();
+  if (!Begun.NeedsEvidence)
+    Begun.Candidate = largestGain(Begun.Fallback, InForce).first;
+  Begun.Baseline = largestOther(Begun.Fallback, Begun.Candidate);
+  Begun.StartedAt = Begun.SteppedAt = Now;
+  Begun.Deadline = Wanted.Deadline;
+  Begun.Probation = Wanted.Probation;
+  return Start;
+}
+
+bool MovePacer::isWatched(const MoveState &State, WallTime Now) {
+  if (!State.ended())
+    return true;
+  return State.Phase == MovePhase::Done && State.NeedsEvidence &&
+         !State.Reverted && Now <= State.EndedAt + State.Probation;
+}
+
+MoveDecision MovePacer::decide(const MoveState &State,
+                               const MoveInputs &In) const {
+  if (State.ended())
+    return decideDone(State, In);
+  bool IsBad = In.CandidateMarkedBad || In.Verdict.Kind == Judgement::Bad;
+  if (IsBad && !State.Candidate.empty())
+    return decideBad(State, In);
+  if (In.Now >= State.Deadline)
+    return this->decideAtDeadline(State, In);
+  if (State.Phase == MovePhase::Holding)
+    return decideHolding(State, In);
+  return this->decideShare(State, In);
+}
+
+MoveDecision MovePacer::decideAtDeadline(const MoveState &State,
+                                         const MoveInputs &In) const {
+  bool IsGood = In.Verdict.Kind == Judgement::GoodSoFar || State.Evidence.Good;
+  bool IsInForce = State.InForce == State.To;
+  bool HasCapacity = this->capacityGain(State, In) >= gainOf(State, State.To);
+  if (!State.NeedsEvidence &&
+      (IsInForce || HasCapacity || State.To == State.Fallback))
+    return endAs(State, MovePhase::Done, MoveReason::TargetHeld, In.Now);
+  MoveDecision Decision =
+      endAs(State, MovePhase::TakenBack, MoveReason::DeadlinePassed, In.Now);
+  if (IsInForce && IsGood)
+    Decision = endAs(State, MovePhase::Done, MoveReason::TargetHeld, In.Now);
+  else if (!IsInForce && !HasCapacity)
+    Decision.Next.Reason = MoveReason::NoCapacity;
+  else if (!IsGood)
+    Decision.Next.Reason = MoveReason::NoEvidence;
+  recordEvidence(Decision.Next, In.Verdict);
+  return Decision;
+}
+
+MoveDecision MovePacer::decideShare(const MoveState &State,
+                                    const MoveInputs &In) const {
+  double Target = gainOf(State, State.To);
+  double Current = gainOf(State, State.InForce);
+  double Next = Current;
+  if (State.InForce != State.To) {
+    if (State.Phase != MovePhase::Pending &&
+        In.Now - State.SteppedAt < this->Options.StepInterval)
+      return keep(State);
+    Next = this->nextGain(State, In);
+    bool IsSmall =
+        Next < Target && Next >= Current && Next < Current * SmallestGrowth;
+    if (Next == Current || IsSmall)
+      return keep(State);
+  }
+  MoveDecision Decision = {MoveAction::SetShare, State, false};
+  auto Settled =
+      static_cast<double>(shareIn(State.Fallback, State.Driver).parts());
+  Decision.Next.InForce =
+      Next >= Target
+          ? State.To
+          : State.splitAt(Share(static_cast<std::uint32_t>(Settled + Next)));
+  Decision.Next.Phase = MovePhase::Shifting;
+  Decision.Next.SteppedAt = In.Now;
+  recordEvidence(Decision.Next, In.Verdict);
+  if (Next < Target)
+    return Decision;
+  if (!State.NeedsEvidence)
+    return endAs(State, MovePhase::Done, MoveReason::TargetHeld, In.Now);
+  Decision.Next.Phase = MovePhase::Holding;
+  Decision.Next.HeldSince = In.Now;
+  return Decision;
+}
+
+double MovePacer::nextGain(const MoveState &State, const MoveInputs &In) const {
+  double Target = gainOf(State, State.To);
+  double Current = gainOf(State, State.InForce);
+  double Capacity = this->capacityGain(State, In);
+  auto Size = static_cast<double>(this->Options.StepSize.parts());
+  bool NeedsEvidence = State.NeedsEvidence && State.Driver == State.Candidate;
+  if (!NeedsEvidence)
+    return std::min(Target,
+                    std::max(Current, std::min(Current + Size, Capacity)));
+  if (State.Phase == MovePhase::Pending && In.CallsPerSecond <= 0 &&
+      In.Now - State.StartedAt < RateWait)
+    return Current;
+  double Planned = this->plannedGain(State, In);
+  double Wanted = std::max(Planned, this->evidenceGain(State, In));
+  double First = static_cast<double>(this->Options.EarlyShare.parts());
+  double Bound = First;
+  if (Current > 0)
+    Bound =
+        std::max(std::min(Current * this->Options.StepFactor, Current + Size),
+                 std::min(Planned, Current * UrgentFactor));
+  double Next = std::floor(std::min({Wanted, Bound, Capacity, Target}));
+  bool IsOverloaded = Capacity < Current * this->Options.CapacityPart;
+  return IsOverloaded ? std::max(0.0, std::floor(Capacity))
+                      : std::max(Current, Next);
+}
+
+double MovePacer::evidenceGain(const MoveState &State,
+                               const MoveInputs &In) const {
+  if (In.CallsPerSecond <= 0)
+    return 0;
+  auto Calls = static_cast<double>(In.Verdict.CandidateCalls);
+  double Rate =
+      this->Options.FirstRate * In.Routes + this->Options.RatePerCall * Calls;
+  double Gain = std::max(1.0, Rate / In.CallsPerSecond * Share::Whole);
+  if (Calls < static_cast<double>(this->Options.EarlyCalls) * In.Routes)
+    Gain = std::min(Gain, double(this->Options.EarlyShare.parts()));
+  return std::min(Gain, gainOf(State, State.To));
+}
+
+double MovePacer::plannedGain(const MoveState &State,
+                              const MoveInputs &In) const {
+  double Target = gainOf(State, State.To);
+  double Begin = PlanBegin;
+  if (In.CallsPerSecond > 0)
+    Begin = std::clamp(this->Options.FirstRate * In.Routes / In.CallsPerSecond *
+                           Share::Whole,
+                       1.0, double(this->Options.EarlyShare.parts()));
+  Begin = std::max(Begin, gainOf(State, State.From));
+  if (Begin >= Target)
+    return Target;
+  Duration Window = State.Deadline - State.holdTime() - State.StartedAt;
+  Duration Length =
+      Window - std::min(PlanMargin * this->Options.StepInterval, Window / 4);
+  if (Length <= Duration::zero())
+    return Target;
+  double Part = std::clamp(double((In.Now - State.StartedAt).count()) /
+                               double(Length.count()),
+                           0.0, 1.0);
+  return Begin * std::pow(Target / Begin, Part);
+}
+
+double MovePacer::capacityGain(const MoveState &State,
+                               const MoveInputs &In) const {
+  auto Settled =
+      static_cast<double>(shareIn(State.Fallback, State.Driver).parts());
+  auto Found = In.Capacity.find(State.Driver);
+  if (Found == In.Capacity.end() || Found->second <= 0)
+    return -Settled;
+  if (In.Demand <= 0)
+    return Share::Whole;
+  return this->Options.CapacityPart * Found->second / In.Demand * Share::Whole -
+         Settled;
+}
+
+} // namespace amaranthward
--- a/src/libpolicy/movepacer.h
+++ b/src/libpolicy/movepacer.h
@@ -21,6 +21,7 @@
 /// What the leader knows at the time of one decision.
 struct MoveInputs {
   WallTime Now;
+  /// The analysis of the move's candidate against its baseline.
   AnalysisVerdict Verdict;
   /// Calls per second of the whole service; 0 while unknown.
   double CallsPerSecond = 0;
@@ -37,7 +38,7 @@
 
 enum class MoveAction {
   Keep,
-  /// Write Next, whose InForce split or phase differs from the one before.
+  /// Write Next: its split, phase or evidence has changed.
   SetShare,
   /// Write Next, which has ended, and report it.
   End,
@@ -46,6 +47,8 @@
   Revert,
 };
 
+const char *toString(MoveAction Action);
+
 struct MoveDecision {
   MoveAction Action = MoveAction::Keep;
   /// Equal to the state passed in when \a Action is Keep.
@@ -81,14 +84,15 @@
 /// the MoveState, which the log stores.
 class MovePacer {
 public:
+  /// Fails with InvalidArgument on options that allow no step.
   static Result<MovePacer> create(PacerOptions Options = {});
 
-  /// Begins a move at \a Now from \a InForce. \a Settled is the split before
-  /// the first unfinished move; it is where a rollback leads. \a Open is the
-  /// move to replace, if any. Fails with InvalidArgument when a split does not
-  /// add up to Share::Whole.
+  /// Begins a move at \a Now from \a InForce. \a Open is the service's last
+  /// move, if any; when it has not ended, the new move replaces it and keeps
+  /// its fallback. Fails with InvalidArgument when a split does not add up to
+  /// Share::Whole.
   static Result<MoveStart> begin(WallTime Now, const MoveRequest &Wanted,
-                                 const Split &InForce, const Split &Settled,
+                                 const Split &InForce,
                                  const std::optional<MoveState> &Open);
 
   /// Never changes a move that has ended, but for Revert.
@@ -101,16 +105,14 @@
 private:
   explicit MovePacer(PacerOptions Options) : Options(Options) {}
 
-  MoveDecision decideOpen(const MoveState &State, const MoveInputs &In) const;
-  MoveDecision decideHolding(const MoveState &State,
-                             const MoveInputs &In) const;
+  MoveDecision decideShare(const MoveState &State, const MoveInputs &In) const;
   MoveDecision decideAtDeadline(const MoveState &State,
                                 const MoveInputs &In) const;
-  MoveDecision decideShare(const MoveState &State, const MoveInputs &In) const;
-  /// Share of the driver wanted now, before the bounds on one step.
-  double wantedShare(const MoveState &State, const MoveInputs &In) const;
-  double plannedShare(const MoveState &State, WallTime Now) const;
-  double capacityShare(const MoveState &State, const MoveInputs &In) const;
+  /// Shares of the driver beyond its share in the fallback, in parts.
+  double evidenceGain(const MoveState &State, const MoveInputs &In) const;
+  double plannedGain(const MoveState &State, const MoveInputs &In) const;
+  double capacityGain(const MoveState &State, const MoveInputs &In) const;
+  double nextGain(const MoveState &State, const MoveInputs &In) const;
 
   PacerOptions Options;
 };
--- a/src/libpolicy/movestate.h
+++ b/src/libpolicy/movestate.h
@@ -96,8 +96,11 @@
   friend bool operator==(const MoveState &, const MoveState &) = default;
 };
 
-Json splitToJson(const Split &Shares);
+Share shareIn(const Split &Shares, const VersionName &Version);
 /// Fails with InvalidArgument unless the shares add up to Share::Whole.
+Result<void> checkSplit(const Split &Shares);
+Json splitToJson(const Split &Shares);
+/// Fails with InvalidArgument on anything that checkSplit refuses.
 Result<Split> splitFromJson(const Json &Value);
 
 } // namespace amaranthward
--- a/src/libpolicy/observation.h
+++ b/src/libpolicy/observation.h
@@ -18,15 +18,19 @@
 
   void add(const CallCounters &Other);
   void raiseTo(const CallCounters &Other);
+  /// What was counted after \a Before; a counter that fell counts as unchanged.
+  CallCounters since(const CallCounters &Before) const;
   /// Records one finished call.
   void count(bool Failed, Duration Latency);
 
   friend bool operator==(const CallCounters &, const CallCounters &) = default;
 };
 
-/// What one process has counted since its start for one version and route.
+/// What one process has counted for one version and route.
 struct Observation {
   NodeName Reporter;
+  /// Random number of the period in which the counters have been rising. A
+  /// process begins one at its start and at each new move of the service.
   Incarnation Process;
   ServiceName Service;
   VersionName Version;
--- a/src/libpolicy/observationstore.h
+++ b/src/libpolicy/observationstore.h
@@ -4,7 +4,6 @@
 #include "libpolicy/observation.h"
 #include <deque>
 #include <map>
-#include <set>
 #include <utility>
 
 namespace amaranthward {
@@ -12,8 +11,8 @@
 struct ObservationLimits {
   /// Distinct (reporter, incarnation, service, version, route).
   std::size_t Entries = 200000;
-  /// Incarnations of one reporter that are kept apart; older ones are added
-  /// to a common sum and accept no further reports.
+  /// Incarnations of one reporter and service that are kept apart; older ones
+  /// stay in the sums and accept no further reports.
   std::size_t Incarnations = 4;
 };
 
@@ -40,25 +39,25 @@
   std::size_t entries() const { return this->Count; }
 
 private:
-  struct Key {
-    ServiceName Service;
-    VersionName Version;
-    RouteName Route;
-    friend auto operator<=>(const Key &, const Key &) = default;
-  };
+  /// One reporter's counters on one service.
   struct Reporter {
-    std::map<Incarnation, std::map<Key, CallCounters>> Processes;
+    std::map<Incarnation, Sums> Processes;
+    /// Incarnations in the order of their first report.
     std::deque<Incarnation> Order;
     std::deque<Incarnation> Retired;
   };
+  struct ServiceCounters {
+    std::map<NodeName, Reporter> Reporters;
+    Sums Totals;
+  };
 
   explicit ObservationStore(ObservationLimits Limits) : Limits(Limits) {}
   void retireOldest(Reporter &From);
+  Result<void> admit(Reporter &From, const Observation &One);
 
   ObservationLimits Limits;
   std::size_t Count = 0;
-  std::map<NodeName, Reporter> Reporters;
-  std::map<ServiceName, Sums> Totals;
+  std::map<ServiceName, ServiceCounters> Services;
 };
 
 } // namespace amaranthward
--- /dev/null
+++ b/src/libpolicy/rateevidence.cpp
@@ -0,0 +1,196 @@
+#include "libpolicy/rateevidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace amaranthward {
+namespace {
+
+/// Alternative rates, as the part of the way from the baseline's rate to 1.
+constexpr std::array<double, 6> AlternativeParts = {0.02, 0.06, 0.15,
+                                                    0.35, 0.65, 0.95};
+/// Odds ratios of the comparison with the concurrent baseline.
+constexpr std::array<double, 3> OddsRatios = {4, 30, 300};
+/// Logarithm of 1,000: a disturbance that strikes both versions alike passes
+/// the comparison with probability 1/1,000 at most.
+constexpr double ContrastNeeded = 6.9;
+
+/// Baseline calls below which nothing is concluded.
+constexpr double BaselineNeeded = 200;
+constexpr Duration BaselineMemory = std::chrono::seconds(60);
+constexpr Duration RecentMemory = std::chrono::seconds(2);
+/// Standard deviations above the estimate. The candidate has far fewer calls
+/// than the baseline when it is new, so its own noise outweighs the error of
+/// the estimate.
+constexpr double UpperDeviations = 1;
+
+/// Part of all calls beyond which the candidate has no concurrent baseline.
+constexpr double AlonePart = 0.98;
+constexpr double AloneFactor = 3;
+constexpr double AloneMargin = 0.02;
+/// Without a concurrent baseline, evidence must last this long, so that a
+/// short outage of an availability zone convicts no version.
+constexpr Duration AlonePersistence = std::chrono::seconds(1);
+
+constexpr double LowestRate = 1e-6;
+constexpr double HighestRate = 0.9;
+
+/// Weight of a fault that begins at \a Step. The first step has 1/2 for
+/// versions that are bad from the start; the others add up to 1/2.
+double startWeight(std::uint64_t Step) {
+  constexpr double Spread = 64;
+  if (Step == 0)
+    return 0.5;
+  double At = static_cast<double>(Step - 1) + Spread;
+  return 0.5 * Spread / (At * (At + 1));
+}
+
+/// Upper end of the Wilson interval.
+double upperRate(FaultCount Count) {
+  constexpr double Z = UpperDeviations;
+  double N = Count.Calls;
+  if (N <= 0)
+    return 1;
+  double K = std::min(Count.Faults, N);
+  double Spread = Z * std::sqrt(K * (1 - K / N) + Z * Z / 4);
+  return (K + Z * Z / 2 + Spread) / (N + Z * Z);
+}
+
+/// Whether \a Count has clearly more faults than \a Rate explains.
+bool isSurprising(FaultCount Count, double Rate) {
+  double Expected = Rate * Count.Calls;
+  return Count.Faults > Expected + 3 * std::sqrt(Expected) + 1;
+}
+
+double decay(Duration Elapsed, Duration Memory) {
+  return std::exp(-static_cast<double>(Elapsed.count()) /
+                  static_cast<double>(Memory.count()));
+}
+
+} // namespace
+
+void FaultCount::add(FaultCount Other) {
+  this->Calls += Other.Calls;
+  this->Faults += Other.Faults;
+}
+
+void FaultCount::scale(double Factor) {
+  this->Calls *= Factor;
+  this->Faults *= Factor;
+}
+
+double FaultCount::rate() const {
+  return this->Calls > 0 ? this->Faults / this->Calls : 0;
+}
+
+RateEvidence::RateEvidence(double Budget) : Threshold(1 / Budget) {}
+
+void RateEvidence::step(Instant Now, FaultCount Baseline,
+                        FaultCount Candidate) {
+  if (this->Bad)
+    return;
+  this->updateBaseline(Now, Baseline, Candidate);
+  this->updateContrasts(Baseline, Candidate);
+  this->Waiting.add(Candidate);
+  if (this->Baseline.Calls < BaselineNeeded || this->Waiting.Calls <= 0)
+    return;
+  this->updateRatios(this->Waiting);
+  this->Waiting = {};
+  this->conclude(Now);
+}
+
+void RateEvidence::updateBaseline(Instant Now, FaultCount Baseline,
+                                  FaultCount Candidate) {
+  Duration Elapsed = Now - this->SteppedAt.value_or(Now);
+  this->SteppedAt = Now;
+  this->RecentBaseline.scale(decay(Elapsed, RecentMemory));
+  this->RecentCandidate.scale(decay(Elapsed, RecentMemory));
+  this->RecentBaseline.add(Baseline);
+  this->RecentCandidate.add(Candidate);
+  // Time without baseline calls is no reason to forget the baseline.
+  if (Baseline.Calls > 0)
+    this->Baseline.scale(decay(Elapsed, BaselineMemory));
+  double Usual = this->Baseline.rate();
+  bool IsKnown = this->Baseline.Calls >= BaselineNeeded;
+  this->Baseline.add(Baseline);
+  this->UpperRate = upperRate(this->Baseline);
+  for (FaultCount Count : {Baseline, this->RecentBaseline})
+    if (IsKnown && isSurprising(Count, Usual))
+      this->UpperRate = std::max(this->UpperRate, upperRate(Count));
+  if (this->isAlone())
+    this->UpperRate = this->UpperRate * AloneFactor + AloneMargin;
+  this->UpperRate = std::clamp(this->UpperRate, LowestRate, HighestRate);
+}
+
+void RateEvidence::updateRatios(FaultCount Candidate) {
+  double Weight = startWeight(this->Steps++);
+  double Good = Candidate.Calls - Candidate.Faults;
+  for (std::size_t At = 0; At < Alternatives; ++At) {
+    double Rate =
+        this->UpperRate + (1 - this->UpperRate) * AlternativeParts[At];
+    double PerFault = std::log(Rate / this->UpperRate);
+    double PerGood = std::log1p(-AlternativeParts[At]);
+    double Likelihood = std::exp(Candidate.Faults * PerFault + Good * PerGood);
+    this->Ratios[At] =
+        std::min((this->Ratios[At] + Weight) * Likelihood, 1e200);
+  }
+}
+
+void RateEvidence::updateContrasts(FaultCount Baseline, FaultCount Candidate) {
+  double Calls = Baseline.Calls + Candidate.Calls;
+  if (Calls <= 0)
+    return;
+  double Part = Candidate.Calls / Calls;
+  double Faults = Baseline.Faults + Candidate.Faults;
+  for (std::size_t At = 0; At < Contrasts; ++At) {
+    double Odds = OddsRatios[At];
+    double Added = Candidate.Faults * std::log(Odds) -
+                   Faults * std::log(Part * Odds + 1 - Part);
+    this->Divided[At] = std::max(0.0, this->Divided[At] + Added);
+  }
+}
+
+bool RateEvidence::isAlone() const {
+  double Calls = this->RecentBaseline.Calls + this->RecentCandidate.Calls;
+  return this->RecentCandidate.Calls > AlonePart * Calls;
+}
+
+bool RateEvidence::isContrasted() const {
+  return *std::max_element(this->Divided.begin(), this->Divided.end()) >=
+         ContrastNeeded;
+}
+
+void RateEvidence::conclude(Instant Now) {
+  if (this->evidence() < std::log(this->Threshold)) {
+    this->CrossedAt.reset();
+    return;
+  }
+  if (!this->CrossedAt)
+    this->CrossedAt = Now;
+  this->Bad = this->isAlone() ? Now - *this->CrossedAt >= AlonePersistence
+                              : this->isContrasted();
+}
+
+void RateEvidence::rebase(FaultCount Baseline) {
+  this->Baseline = Baseline;
+  this->RecentBaseline = {};
+}
+
+void RateEvidence::restart() {
+  this->Bad = false;
+  this->Steps = 0;
+  this->Ratios = {};
+  this->Divided = {};
+  this->Waiting = {};
+  this->RecentCandidate = {};
+  this->CrossedAt.reset();
+}
+
+double RateEvidence::evidence() const {
+  double Sum = 0;
+  for (double Ratio : this->Ratios)
+    Sum += Ratio;
+  return std::log(std::max(Sum / Alternatives, 1e-300));
+}
+
+} // namespace amaranthward
--- a/src/libpolicy/routeanalysis.h
+++ b/src/libpolicy/routeanalysis.h
@@ -10,7 +10,9 @@
 
 const char *toString(FaultKind Kind);
 
-/// Evidence on the two kinds of fault of one route.
+/// Evidence on the two kinds of fault of one route. A call is slow when its
+/// latency lies clearly above the 99th percentile of the baseline's recent
+/// latencies.
 class RouteAnalysis {
 public:
   /// \a Budget is the false alarm probability of this route.
@@ -19,22 +21,34 @@
   /// Takes cumulative counters; counters that have fallen are ignored.
   void step(Instant Now, const CallCounters &Baseline,
             const CallCounters &Candidate);
+  /// Forgets the evidence on the candidate and keeps the baseline.
+  void restart();
 
   const RateEvidence &failures() const { return this->Failures; }
   const RateEvidence &slowness() const { return this->Slowness; }
-  std::uint64_t candidateCalls() const { return this->Seen.Calls; }
+  std::uint64_t candidateCalls() const { return this->CandidateCalls; }
+  /// Latency from which a call is slow; Duration::max() while unknown.
+  Duration slowFrom() const;
 
 private:
-  void updateThreshold(const CallCounters &Baseline);
+  void updateThreshold(Instant Now);
+  void stepSlowness(Instant Now, const LatencyHistogram &Baseline,
+                    const LatencyHistogram &Candidate);
 
   RateEvidence Failures;
   RateEvidence Slowness;
   /// Totals at the last step.
-  CallCounters Seen;
   CallCounters SeenBaseline;
+  CallCounters SeenCandidate;
+  std::uint64_t CandidateCalls = 0;
   /// Baseline latencies from which the threshold of slowness is taken.
   LatencyHistogram Recent;
+  /// Candidate latencies seen before the threshold was known.
+  LatencyHistogram Waiting;
   std::size_t SlowBucket = LatencyHistogram::Buckets;
+  std::uint64_t ThresholdCalls = 0;
+  Instant ThresholdAt;
+  Instant HalvedAt;
 };
 
 } // namespace amaranthward
--- /dev/null
+++ b/src/libpolicy/versionanalysis.cpp
@@ -0,0 +1,92 @@
+#include "libpolicy/versionanalysis.h"
+
+namespace amaranthward {
+namespace {
+
+BadEvidence describe(const RouteName &Route, FaultKind Kind,
+                     const RouteAnalysis &Analysis) {
+  const RateEvidence &Rate =
+      Kind == FaultKind::Failures ? Analysis.failures() : Analysis.slowness();
+  BadEvidence Bad;
+  Bad.Route = Route;
+  Bad.Fault = Kind;
+  Bad.Calls = Analysis.candidateCalls();
+  Bad.CandidateRate = Rate.candidateRate();
+  Bad.BaselineRate = Rate.baselineRate();
+  Bad.Evidence = Rate.evidence();
+  return Bad;
+}
+
+} // namespace
+
+const char *toString(Judgement Kind) {
+  switch (Kind) {
+  case Judgement::NotEnoughEvidence:
+    return "not_enough_evidence";
+  case Judgement::GoodSoFar:
+    return "good_so_far";
+  case Judgement::Bad:
+    return "bad";
+  }
+  return "unknown";
+}
+
+Result<VersionAnalysis>
+VersionAnalysis::create(const std::vector<RouteName> &Routes,
+                        AnalysisOptions Options) {
+  if (Routes.empty())
+    return fail(ErrorCode::InvalidArgument,
+                "version analysis needs at least one route");
+  if (!(Options.FalseAlarmBudget > 0 && Options.FalseAlarmBudget < 1))
+    return fail(ErrorCode::InvalidArgument,
+                "false alarm budget must lie between 0 and 1");
+  return VersionAnalysis(Routes, Options);
+}
+
+VersionAnalysis::VersionAnalysis(const std::vector<RouteName> &Routes,
+                                 AnalysisOptions Options)
+    : Options(Options) {
+  double Budget = Options.FalseAlarmBudget / static_cast<double>(Routes.size());
+  for (const RouteName &Route : Routes)
+    this->Routes.emplace(Route, RouteAnalysis(Budget));
+}
+
+const AnalysisVerdict &
+VersionAnalysis::step(Instant Now,
+                      const std::map<RouteName, RouteTotals> &Totals) {
+  if (this->Verdict.Kind == Judgement::Bad)
+    return this->Verdict;
+  static const RouteTotals None;
+  for (auto &[Route, Analysis] : this->Routes) {
+    auto Found = Totals.find(Route);
+    const RouteTotals &Newest = Found == Totals.end() ? None : Found->second;
+    Analysis.step(Now, Newest.Baseline, Newest.Candidate);
+  }
+  this->conclude();
+  return this->Verdict;
+}
+
+void VersionAnalysis::conclude() {
+  this->Verdict = {};
+  for (const auto &[Route, Analysis] : this->Routes)
+    this->Verdict.CandidateCalls += Analysis.candidateCalls();
+  if (this->Verdict.CandidateCalls >= this->Options.GoodCalls)
+    this->Verdict.Kind = Judgement::GoodSoFar;
+  for (const auto &[Route, Analysis] : this->Routes) {
+    bool Fails = Analysis.failures().bad();
+    if (!Fails && !Analysis.slowness().bad())
+      continue;
+    this->Verdict.Kind = Judgement::Bad;
+    this->Verdict.Bad = describe(
+        Route, Fails ? FaultKind::Failures : FaultKind::Slowness, Analysis);
+    return;
+  }
+}
+
+void VersionAnalysis::restart() {
+  for (auto &[Route, Analysis] : this->Routes)
+    Analysis.restart();
+  this->Verdict = {};
+}
+
+} // namespace amaranthward
--- a/src/libpolicy/versionanalysis.h
+++ b/src/libpolicy/versionanalysis.h
@@ -56,7 +56,7 @@
 class VersionAnalysis {
 public:
   /// Fails with InvalidArgument without routes or with a budget outside (0, 1).
-  static Result<VersionAnalysis> create(std::vector<RouteName> Routes,
+  static Result<VersionAnalysis> create(const std::vector<RouteName> &Routes,
                                         AnalysisOptions Options = {});
 
   /// Takes the newest totals; routes that were not named at creation are
@@ -65,10 +65,15 @@
   const AnalysisVerdict &step(Instant Now,
                               const std::map<RouteName, RouteTotals> &Totals);
 
+  /// Forgets the evidence on the candidate and keeps the baseline.
+  void restart();
+
   const AnalysisVerdict &verdict() const { return this->Verdict; }
 
 private:
-  VersionAnalysis(std::vector<RouteName> Routes, AnalysisOptions Options);
+  VersionAnalysis(const std::vector<RouteName> &Routes,
+                  AnalysisOptions Options);
+  void conclude();
 
   AnalysisOptions Options;
   std::map<RouteName, RouteAnalysis> Routes;
