--- /dev/null
+++ b/src/libpolicy/admissiongate.cpp
@@ -0,0 +1,305 @@
+#include "libpolicy/admissiongate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace amaranthward {
+
+namespace {
+
+/// Routes beyond this number share one set of measurements.
+constexpr std::uint32_t MostRoutes = 256;
+/// A warm baseline that the upstream has not come back to after this multiple
+/// of its warm-up time is no longer believed: the work has changed.
+constexpr int BaselineTrust = 3;
+/// One slot in this many is kept for urgent calls, from \a LeastForReserve.
+constexpr std::uint32_t ReservePart = 8;
+constexpr std::uint32_t LeastForReserve = 3;
+
+std::uint32_t urgentReserve(std::uint32_t Limit) {
+  return Limit < LeastForReserve ? 0 : std::max(1U, Limit / ReservePart);
+}
+
+/// Two thirds, rounded up: a service that has only bulk calls still uses
+/// enough of its limit for the ramp to see the effect of load.
+std::uint32_t bulkCap(std::uint32_t Limit) { return (2 * Limit + 2) / 3; }
+
+double logMicros(Duration Time) {
+  return std::log(
+      static_cast<double>(std::max<Duration::rep>(1, Time.count())));
+}
+
+} // namespace
+
+AdmissionControl::Impl::Impl(const AdmissionSettings &Settings)
+    : Settings(Settings), Baseline(Settings.Slots),
+      Ramp(Settings.Slots, Settings.WarmUp, Instant()),
+      Adaptive(Settings.Slots) {}
+
+std::uint32_t AdmissionControl::Impl::routeIndex(const RouteName &Route) {
+  auto Found = this->RouteNumbers.find(Route);
+  if (Found != this->RouteNumbers.end())
+    return Found->second;
+  if (this->RouteNumbers.size() >= MostRoutes)
+    return 0;
+  auto Number = static_cast<std::uint32_t>(this->RouteNumbers.size());
+  this->RouteNumbers.emplace(Route, Number);
+  return Number;
+}
+
+std::uint32_t AdmissionControl::Impl::limit(Instant Now) const {
+  std::uint32_t Limit = std::min(
+      {this->Settings.Slots, this->Ramp.limit(), this->Adaptive.limit()});
+  if (this->LoadHint > 1 && Now - this->LoadHintAt <= LoadHintLife) {
+    auto Hinted = static_cast<std::uint32_t>(Limit / this->LoadHint);
+    Limit = std::max((Limit + 1) / 2, Hinted);
+  }
+  return Limit;
+}
+
+std::uint32_t AdmissionControl::Impl::runningNonUrgent() const {
+  return static_cast<std::uint32_t>(this->Calls.size()) -
+         this->RunningByClass[static_cast<std::size_t>(CallClass::Urgent)];
+}
+
+bool AdmissionControl::Impl::canStart(CallClass Class, Instant Now) const {
+  std::uint32_t Limit = this->limit(Now);
+  if (this->Calls.size() >= Limit)
+    return false;
+  if (Class == CallClass::Urgent)
+    return true;
+  if (this->runningNonUrgent() >= Limit - urgentReserve(Limit))
+    return false;
+  return Class != CallClass::Bulk ||
+         this->RunningByClass[static_cast<std::size_t>(CallClass::Bulk)] <
+             bulkCap(Limit);
+}
+
+AdmissionDecision AdmissionControl::Impl::request(const AdmissionRequest &Call,
+                                                  Instant Now,
+                                                  AdmissionActions &Actions) {
+  if (!this->ColdSince)
+    this->becomeCold(Now);
+  this->watch(Now);
+  this->refuseExpired(Now, Actions);
+  AdmissionDecision Decision;
+  if (this->LeavingSince) {
+    Decision.Reason = RefusalReason::Leaving;
+    return Decision;
+  }
+  std::uint32_t Route = this->routeIndex(Call.Route);
+  if (Call.Deadline <= Now + this->Times.least(Route, Now)) {
+    Decision.Reason = RefusalReason::DeadlineTooShort;
+    return Decision;
+  }
+  if (!this->canStart(Call.Class, Now))
+    return this->enqueue(Call, Route, Now, Actions);
+  Decision.Verdict = AdmissionVerdict::Admit;
+  Decision.Ticket = AdmissionTicket(this->NextTicket++);
+  this->start(Decision.Ticket, Call.Class, Route, Now);
+  return Decision;
+}
+
+AdmissionDecision AdmissionControl::Impl::enqueue(const AdmissionRequest &Call,
+                                                  std::uint32_t Route,
+                                                  Instant Now,
+                                                  AdmissionActions &Actions) {
+  std::uint32_t Limit = this->limit(Now);
+  AdmissionDecision Decision;
+  Duration Turn = this->Times.mean() / Limit;
+  // In proportion to the limit, so that calls do not wait long at a cold
+  // upstream while others have room.
+  this->Queue.setCapacity(std::max(
+      1U, static_cast<std::uint32_t>(std::uint64_t(this->Settings.Queue) *
+                                     Limit / this->Settings.Slots)));
+  if (this->Settings.Queue == 0 || !this->Queue.hasRoom(Call.Class)) {
+    Decision.Reason = RefusalReason::QueueFull;
+    Decision.RetryAfter = Turn * (this->Queue.size() + 1);
+    return Decision;
+  }
+  Duration Wait = Turn * (this->Queue.ahead(Call.Class, Call.Deadline) + 1);
+  if (Call.Deadline <= Now + Wait + this->Times.least(Route, Now)) {
+    Decision.Reason = RefusalReason::DeadlineTooShort;
+    Decision.RetryAfter = Wait;
+    return Decision;
+  }
+  Decision.Verdict = AdmissionVerdict::Queue;
+  Decision.Ticket = AdmissionTicket(this->NextTicket++);
+  auto Displaced =
+      this->Queue.add({Call.Class, Call.Deadline, Decision.Ticket, Route});
+  if (Displaced)
+    Actions.Refused.push_back({Displaced->Ticket, RefusalReason::Displaced});
+  return Decision;
+}
+
+void AdmissionControl::Impl::start(AdmissionTicket Ticket, CallClass Class,
+                                   std::uint32_t Route, Instant Now) {
+  auto InFlight = static_cast<std::uint32_t>(this->Calls.size()) + 1;
+  double Expected = this->Ramp.isWarm()
+                        ? this->Baseline.expected(Route, InFlight)
+                        : this->Ramp.recent(Route);
+  this->Calls.push_back(
+      {Ticket, Class, Route, InFlight, this->Ramp.step(), Now, Expected});
+  ++this->RunningByClass[static_cast<std::size_t>(Class)];
+}
+
+void AdmissionControl::Impl::startWaiting(Instant Now,
+                                          AdmissionActions &Actions) {
+  // Classes are in order of their caps, so when the first call may not start,
+  // none may.
+  while (this->Queue.size() > 0) {
+    AdmissionQueue::Waiting First = *this->Queue.calls().begin();
+    if (!this->canStart(First.Class, Now))
+      return;
+    this->Queue.take(First);
+    if (First.Deadline <= Now + this->Times.least(First.Route, Now)) {
+      Actions.Refused.push_back(
+          {First.Ticket, RefusalReason::DeadlineTooShort});
+      continue;
+    }
+    this->start(First.Ticket, First.Class, First.Route, Now);
+    Actions.Start.push_back(First.Ticket);
+  }
+}
+
+void AdmissionControl::Impl::refuseExpired(Instant Now,
+                                           AdmissionActions &Actions) {
+  while (auto Expired = this->Queue.takeExpired(Now))
+    Actions.Refused.push_back(
+        {Expired->Ticket, RefusalReason::DeadlineTooShort});
+  if (!this->LeavingSince || Now - *this->LeavingSince < LeavingGrace)
+    return;
+  while (auto Last = this->Queue.takeLast())
+    Actions.Refused.push_back({Last->Ticket, RefusalReason::Leaving});
+}
+
+AdmissionActions
+AdmissionControl::Impl::complete(AdmissionTicket Ticket, UpstreamResult Result,
+                                 std::optional<Duration> UpstreamTime,
+                                 Instant Now) {
+  AdmissionActions Actions;
+  auto Found =
+      std::find_if(this->Calls.begin(), this->Calls.end(),
+                   [&](const Running &One) { return One.Ticket == Ticket; });
+  if (Found == this->Calls.end())
+    return Actions;
+  Running Call = *Found;
+  *Found = this->Calls.back();
+  this->Calls.pop_back();
+  --this->RunningByClass[static_cast<std::size_t>(Call.Class)];
+  this->observe(Call, Result, UpstreamTime.value_or(Now - Call.Start), Now);
+  return this->advance(Now);
+}
+
+AdmissionActions AdmissionControl::Impl::advance(Instant Now) {
+  AdmissionActions Actions;
+  this->watch(Now);
+  this->refuseExpired(Now, Actions);
+  this->startWaiting(Now, Actions);
+  return Actions;
+}
+
+std::optional<Instant> AdmissionControl::Impl::nextWake() const {
+  std::optional<Instant> Wake = this->Queue.earliestDeadline();
+  if (Wake && this->LeavingSince)
+    Wake = std::min(*Wake, *this->LeavingSince + LeavingGrace);
+  return Wake;
+}
+
+void AdmissionControl::Impl::observe(const Running &Call, UpstreamResult Result,
+                                     Duration Latency, Instant Now) {
+  if (Result == UpstreamResult::Cancelled)
+    return;
+  bool Failed = Result == UpstreamResult::Failure;
+  double LogLatency = logMicros(Latency);
+  if (!this->Ramp.isWarm())
+    this->Ramp.add({Call.Route, Call.InFlight, Call.RampStep, Failed,
+                    LogLatency,
+                    this->Baseline.expected(Call.Route, Call.InFlight)},
+                   Now);
+  this->Detector.addOutcome(Failed);
+  if (Failed) {
+    this->Adaptive.addFailure();
+    return;
+  }
+  this->Times.add(Call.Route, Latency, Now);
+  this->observeSuccess(Call, LogLatency);
+}
+
+void AdmissionControl::Impl::observeSuccess(const Running &Call,
+                                            double LogLatency) {
+  if (Call.LogExpected > 0) {
+    double Above = LogLatency - Call.LogExpected;
+    this->Detector.addLatency(Above, this->Baseline.variance(Call.Route));
+    if (this->Ramp.isWarm())
+      this->Adaptive.add(Above);
+  }
+  if (this->Ramp.isWarm() && this->Detector.isQuiet())
+    this->Baseline.learn(Call.Route, Call.InFlight, LogLatency);
+}
+
+double AdmissionControl::Impl::overdue(Instant Now) const {
+  double Sum = 0;
+  for (const Running &Call : this->Calls) {
+    if (Call.LogExpected <= 0)
+      continue;
+    double Above = logMicros(Now - Call.Start) - Call.LogExpected;
+    Sum += ColdDetector::overdue(Above, this->Baseline.variance(Call.Route));
+  }
+  return Sum;
+}
+
+void AdmissionControl::Impl::watch(Instant Now) {
+  if (!this->Ramp.isWarm() && this->ColdSince &&
+      Now - *this->ColdSince > BaselineTrust * this->Settings.WarmUp)
+    this->Baseline.clear();
+  if (this->Ramp.level() == 1 || !this->Detector.isCold(this->overdue(Now)))
+    return;
+  ++this->ColdAgain;
+  this->becomeCold(Now);
+}
+
+void AdmissionControl::Impl::becomeCold(Instant Now) {
+  this->Ramp.restart(Now);
+  this->Detector.reset();
+  this->Adaptive.reset();
+  this->ColdSince = Now;
+}
+
+void AdmissionControl::Impl::hintLoad(double Load, Instant Now) {
+  this->LoadHint = Load;
+  this->LoadHintAt = Now;
+}
+
+void AdmissionControl::Impl::leave(Instant Now) {
+  if (!this->LeavingSince)
+    this->LeavingSince = Now;
+}
+
+void AdmissionControl::Impl::restore(Instant Now) {
+  this->LeavingSince.reset();
+  this->becomeCold(Now);
+}
+
+void AdmissionControl::Impl::resetUpstream(Instant Now) {
+  this->Baseline.clear();
+  this->becomeCold(Now);
+}
+
+AdmissionStatus AdmissionControl::Impl::status(Instant Now) const {
+  AdmissionStatus Status;
+  if (this->Ramp.isWarm())
+    Status.Phase = WarmthPhase::Warm;
+  else if (this->Ramp.level() > 1)
+    Status.Phase = WarmthPhase::Warming;
+  Status.Leaving = this->LeavingSince.has_value();
+  Status.Limit = this->limit(Now);
+  Status.Ramp = this->Ramp.limit();
+  Status.Adaptive = this->Adaptive.limit();
+  Status.InFlight = static_cast<std::uint32_t>(this->Calls.size());
+  Status.Queued = this->Queue.size();
+  Status.ColdAgain = this->ColdAgain;
+  return Status;
+}
+
+} // namespace amaranthward
--- /dev/null
+++ b/src/libpolicy/admissiongate.h
@@ -0,0 +1,84 @@
+#ifndef AMARANTHWARD_LIBPOLICY_ADMISSIONGATE_H
+#define AMARANTHWARD_LIBPOLICY_ADMISSIONGATE_H
+
+#include "libpolicy/adaptivelimit.h"
+#include "libpolicy/admissioncontrol.h"
+#include "libpolicy/admissionqueue.h"
+#include "libpolicy/colddetector.h"
+#include "libpolicy/latencybaseline.h"
+#include "libpolicy/servicetimes.h"
+#include "libpolicy/warmupramp.h"
+#include <array>
+#include <unordered_map>
+
+namespace amaranthward {
+
+/// Body of AdmissionControl; see there for the contract of each method.
+class AdmissionControl::Impl {
+public:
+  explicit Impl(const AdmissionSettings &Settings);
+
+  AdmissionDecision request(const AdmissionRequest &Call, Instant Now,
+                            AdmissionActions &Actions);
+  AdmissionActions complete(AdmissionTicket Ticket, UpstreamResult Result,
+                            std::optional<Duration> UpstreamTime, Instant Now);
+  void cancelQueued(AdmissionTicket Ticket) { this->Queue.remove(Ticket); }
+  AdmissionActions advance(Instant Now);
+  std::optional<Instant> nextWake() const;
+  void hintLoad(double Load, Instant Now);
+  void leave(Instant Now);
+  void restore(Instant Now);
+  void resetUpstream(Instant Now);
+  AdmissionStatus status(Instant Now) const;
+
+private:
+  struct Running {
+    AdmissionTicket Ticket;
+    CallClass Class;
+    std::uint32_t Route;
+    std::uint32_t InFlight;
+    std::uint64_t RampStep;
+    Instant Start;
+    double LogExpected;
+  };
+
+  std::uint32_t routeIndex(const RouteName &Route);
+  std::uint32_t limit(Instant Now) const;
+  bool canStart(CallClass Class, Instant Now) const;
+  void start(AdmissionTicket Ticket, CallClass Class, std::uint32_t Route,
+             Instant Now);
+  AdmissionDecision enqueue(const AdmissionRequest &Call, std::uint32_t Route,
+                            Instant Now, AdmissionActions &Actions);
+  void startWaiting(Instant Now, AdmissionActions &Actions);
+  void refuseExpired(Instant Now, AdmissionActions &Actions);
+  /// Lowers the limit when calls show that the upstream is cold.
+  void watch(Instant Now);
+  double overdue(Instant Now) const;
+  void observe(const Running &Call, UpstreamResult Result, Duration Latency,
+               Instant Now);
+  void observeSuccess(const Running &Call, double LogLatency);
+  void becomeCold(Instant Now);
+  std::uint32_t runningNonUrgent() const;
+
+  AdmissionSettings Settings;
+  LatencyBaseline Baseline;
+  WarmUpRamp Ramp;
+  ColdDetector Detector;
+  AdaptiveLimit Adaptive;
+  ServiceTimes Times;
+  AdmissionQueue Queue;
+  std::vector<Running> Calls;
+  std::array<std::uint32_t, 3> RunningByClass{};
+  std::unordered_map<RouteName, std::uint32_t> RouteNumbers;
+  std::uint64_t NextTicket = 1;
+  std::uint64_t ColdAgain = 0;
+  std::optional<Instant> LeavingSince;
+  /// None before the first call: the warm-up time counts from there.
+  std::optional<Instant> ColdSince;
+  double LoadHint = 0;
+  Instant LoadHintAt;
+};
+
+} // namespace amaranthward
+
+#endif
--- a/src/libpolicy/upstreamchoice.h
+++ b/src/libpolicy/upstreamchoice.h
@@ -4,10 +4,8 @@
 #include "libcore/ids.h"
 #include "libcore/result.h"
 #include "libcore/units.h"
-#include <array>
 #include <cstdint>
-#include <functional>
-#include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <span>
@@ -47,9 +45,12 @@
 struct UpstreamChoiceSettings {
   ZoneName OwnZone;
   RegionName OwnRegion;
-  /// Ejected candidates as a share of those in service. The last candidate is
-  /// never ejected.
+  /// Candidates ejected for failures and timeouts, as a share of those in
+  /// service. The last candidate is never ejected.
   Share MaxEjected = Share(5000);
+  /// The same with refused connections included: nothing runs there, so no
+  /// capacity is lost by the ejection.
+  Share MaxRefused = Share(9000);
   Duration FirstEjection = std::chrono::milliseconds(500);
   Duration LongestEjection = std::chrono::seconds(30);
   /// Failures in a row that eject; a refused connection ejects at once.
@@ -64,6 +65,10 @@
   static Result<UpstreamChoice> create(const UpstreamChoiceSettings &Settings,
                                        RandomFunction Random);
 
+  UpstreamChoice(UpstreamChoice &&) noexcept;
+  UpstreamChoice &operator=(UpstreamChoice &&) noexcept;
+  ~UpstreamChoice();
+
   /// Replaces the candidates. Measurements are kept for a candidate with the
   /// same node and incarnation, and start anew for others. Members that are
   /// leaving or in a zone of \a OutOfService are never chosen.
@@ -94,12 +99,9 @@
   static constexpr Duration HintLife = std::chrono::seconds(1);
 
 private:
-  UpstreamChoice(const UpstreamChoiceSettings &Settings, RandomFunction Random);
-
-  struct Entry;
-  UpstreamChoiceSettings Settings;
-  RandomFunction Random;
-  std::vector<Entry> Entries;
+  class Impl;
+  explicit UpstreamChoice(std::unique_ptr<Impl> Body);
+  std::unique_ptr<Impl> Body;
 };
 
 } // namespace amaranthward
--- /dev/null
+++ b/src/libpolicy/warmupramp.cpp
@@ -0,0 +1,185 @@
+#include "libpolicy/warmupramp.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace amaranthward {
+
+namespace {
+
+/// Calls in one measurement. With a log standard deviation of 0.4 the
+/// comparison of two is good to 8%.
+constexpr std::uint32_t WindowCalls = 48;
+/// Calls count only when at least this part of the limit was in use.
+constexpr double LeastUse = 0.66;
+/// Growth of latency with the square of the load, as far as it is taken for
+/// the ordinary effect of load and not for queueing.
+constexpr double OrdinaryGrowth = 0.5;
+constexpr double Noise = 0.03;
+constexpr std::uint32_t MostFailures = 2;
+/// Improvement below which the upstream no longer warms up, and the part of
+/// the warm-up time over which it is measured.
+constexpr double SettledChange = 0.05;
+constexpr int SettledPart = 4;
+
+/// Mean difference of log latencies, weighted over the routes that both saw.
+template <typename Sums>
+std::optional<double> difference(const Sums &Later, const Sums &Before) {
+  double Total = 0;
+  double Weight = 0;
+  for (std::size_t I = 0; I < std::min(Later.size(), Before.size()); ++I) {
+    if (Later[I].Count == 0 || Before[I].Count == 0)
+      continue;
+    double Both = 1.0 / (1.0 / Later[I].Count + 1.0 / Before[I].Count);
+    Total += Both *
+             (Later[I].Log / Later[I].Count - Before[I].Log / Before[I].Count);
+    Weight += Both;
+  }
+  if (Weight < WindowCalls / 8.0)
+    return std::nullopt;
+  return Total / Weight;
+}
+
+} // namespace
+
+WarmUpRamp::WarmUpRamp(std::uint32_t Slots, Duration WarmUp, Instant Now)
+    : Slots(Slots), WarmUp(WarmUp) {
+  this->restart(Now);
+}
+
+void WarmUpRamp::restart(Instant Now) {
+  this->Level = 1;
+  this->Warm = false;
+  this->LevelSince = Now;
+  this->Earlier = Window();
+  this->Last = Window();
+  this->beginStep(false);
+}
+
+double WarmUpRamp::recent(std::uint32_t Route) const {
+  if (Route >= this->Last.ByRoute.size() ||
+      this->Last.ByRoute[Route].Count == 0)
+    return 0;
+  return this->Last.ByRoute[Route].Log / this->Last.ByRoute[Route].Count;
+}
+
+std::uint32_t WarmUpRamp::limit() const {
+  return this->AtHalf ? (this->Level + 1) / 2 : this->Level;
+}
+
+bool WarmUpRamp::isFull(const Window &One) const {
+  return One.Count >= WindowCalls;
+}
+
+void WarmUpRamp::beginStep(bool AtHalf) {
+  this->AtHalf = AtHalf && this->Level > 1;
+  ++this->StepNumber;
+  (this->AtHalf ? this->Half : this->Full) = Window();
+}
+
+void WarmUpRamp::add(const RampSample &Sample, Instant Now) {
+  if (this->Warm)
+    return;
+  Window &Here = this->AtHalf ? this->Half : this->Full;
+  if (Sample.Failed) {
+    if (++Here.Failures > MostFailures)
+      this->lower(Now);
+    return;
+  }
+  if (Sample.Step != this->StepNumber ||
+      Sample.InFlight < LeastUse * this->limit())
+    return;
+  if (Sample.Route >= Here.ByRoute.size())
+    Here.ByRoute.resize(Sample.Route + 1);
+  Here.ByRoute[Sample.Route].Log += Sample.LogLatency;
+  ++Here.ByRoute[Sample.Route].Count;
+  ++Here.Count;
+  if (Sample.LogExpected > 0) {
+    Here.AboveExpected += Sample.LogLatency - Sample.LogExpected;
+    ++Here.Expected;
+  }
+  if (this->isFull(Here))
+    this->endStep(Now);
+}
+
+void WarmUpRamp::endStep(Instant Now) {
+  this->Last = this->AtHalf ? this->Half : this->Full;
+  if (this->AtHalf) {
+    this->beginStep(false);
+    return;
+  }
+  bool Ready = this->latencyAllows() || this->isSettled(Now);
+  if (Ready && this->paceAllows(Now))
+    this->raise(Now);
+  else
+    this->beginStep(true);
+}
+
+// The first step gets twice the time: at one call there is nothing to compare
+// with, so the declared time is the only protection.
+bool WarmUpRamp::paceAllows(Instant Now) const {
+  std::uint32_t Steps = this->Slots + 1;
+  Duration PerLevel = this->WarmUp / Steps;
+  Duration Needed = this->Level == 1 ? PerLevel * 2 : PerLevel;
+  return Now - this->LevelSince >= Needed;
+}
+
+bool WarmUpRamp::latencyAllows() const {
+  if (this->Full.Expected >= WindowCalls / 2) {
+    // Slower per call and fewer calls at a time both show in the latency, so
+    // the capacity is taken to fall with its square.
+    double Above =
+        std::max(0.0, this->Full.AboveExpected / this->Full.Expected - Noise);
+    return this->Slots * std::exp(-2 * Above) >= this->Level + 1 ||
+           Above <= Noise;
+  }
+  if (this->Level == 1)
+    return true;
+  std::optional<double> Growth =
+      difference(this->Full.ByRoute, this->Half.ByRoute);
+  if (!Growth)
+    return false;
+  double AtFull = static_cast<double>(this->Level) / this->Slots;
+  double AtHalf = (this->Level + 1) / 2 / static_cast<double>(this->Slots);
+  double Ordinary = std::log1p(OrdinaryGrowth * AtFull * AtFull) -
+                    std::log1p(OrdinaryGrowth * AtHalf * AtHalf);
+  return *Growth <= Ordinary + Noise;
+}
+
+bool WarmUpRamp::isSettled(Instant Now) {
+  if (this->Earlier.Count == 0) {
+    this->Earlier = this->Full;
+    this->EarlierAt = Now;
+    return false;
+  }
+  if (Now - this->EarlierAt < this->WarmUp / SettledPart)
+    return false;
+  std::optional<double> Change =
+      difference(this->Full.ByRoute, this->Earlier.ByRoute);
+  this->Earlier = this->Full;
+  this->EarlierAt = Now;
+  return Change && *Change > -SettledChange && this->Full.Failures == 0;
+}
+
+void WarmUpRamp::raise(Instant Now) {
+  this->LevelSince = Now;
+  this->Earlier = Window();
+  if (this->Level == this->Slots) {
+    this->Warm = true;
+    this->AtHalf = false;
+    ++this->StepNumber;
+    return;
+  }
+  ++this->Level;
+  this->beginStep(true);
+}
+
+void WarmUpRamp::lower(Instant Now) {
+  this->Level = std::max(1U, this->Level / 2);
+  this->LevelSince = Now;
+  this->Earlier = Window();
+  this->beginStep(true);
+}
+
+} // namespace amaranthward
