--- a/src/amaranthward/controlprocess.cpp
+++ b/src/amaranthward/controlprocess.cpp
@@ -32,6 +32,7 @@
     if (this->Operators)
       this->Operators->onChange();
   };
+  Hooks.OnWork = [this] { this->tickSoon(); };
   Hooks.Now = [this] { return this->Loop.now(); };
   Hooks.Wall = wallNow;
   Hooks.Random = systemRandom();
@@ -101,7 +102,6 @@
   respond(*Exchange, 204, "", "");
   this->Service->receive(ReplicaName(textAt(*Envelope, "from")),
                          (*Envelope)["message"]);
-  this->tickSoon();
 }
 
 void ControlProcess::sync(std::shared_ptr<ServerExchange> Exchange,
@@ -127,7 +127,6 @@
     Exchange->setHooks({});
     respond(*Exchange, 200, "application/json", Text);
   });
-  this->tickSoon();
 }
 
 void ControlProcess::tickSoon() {
--- /dev/null
+++ b/src/amaranthward/moveobserver.h
@@ -0,0 +1,65 @@
+#ifndef AMARANTHWARD_AMARANTHWARD_MOVEOBSERVER_H
+#define AMARANTHWARD_AMARANTHWARD_MOVEOBSERVER_H
+
+#include "libconfig/routingview.h"
+#include "libpolicy/localreflex.h"
+#include "libpolicy/observation.h"
+#include <map>
+#include <optional>
+#include <string>
+
+namespace amaranthward {
+
+/// One finished attempt at an upstream, as the entry role saw it.
+struct AttemptRecord {
+  ServiceName Service;
+  VersionName Version;
+  RouteName Route;
+  bool Failed = false;
+  Duration Latency = Duration::zero();
+};
+
+/// Counts this node's calls while moves are open: for the leader's decisions,
+/// and for the node's own reduction of a share.
+class MoveObserver {
+public:
+  static Result<MoveObserver> create(NodeName Self, Incarnation Start);
+
+  /// Starts and ends counting as moves open and close.
+  void update(const RoutingView &View);
+  void record(const AttemptRecord &Attempt);
+  /// Evaluates this node's own evidence. Returns whether a share fell.
+  bool step(Instant Now);
+
+  /// The share that this node uses for a version, where it has reduced it.
+  std::optional<Share> reducedShare(const ServiceName &Service,
+                                    const VersionName &Version) const;
+  /// Cumulative counters of all open moves; none when no move is open.
+  std::optional<Json> report() const;
+  Json dump() const;
+
+private:
+  using VersionRoute = std::pair<VersionName, RouteName>;
+
+  /// One open move as this node sees it.
+  struct Watch {
+    std::string MoveId;
+    VersionName Candidate;
+    VersionName Baseline;
+    std::map<VersionRoute, CallCounters> Counters;
+    std::optional<LocalReflex> Reflex;
+  };
+
+  MoveObserver(NodeName Self, Incarnation Start)
+      : Self(std::move(Self)), Start(Start) {}
+  void watch(const ServiceName &Service, const Json &Move,
+             const RoutingView &View);
+
+  NodeName Self;
+  Incarnation Start;
+  std::map<ServiceName, Watch> Watches;
+};
+
+} // namespace amaranthward
+
+#endif
--- /dev/null
+++ b/src/amaranthward/nodedistribution.cpp
@@ -0,0 +1,271 @@
+#include "amaranthward/nodedistribution.h"
+
+#include "libcore/log.h"
+
+namespace amaranthward {
+
+namespace {
+
+Member memberOf(const NodeSettings &Settings, Incarnation Start) {
+  Member Self;
+  Self.Node = Settings.Name;
+  Self.Start = Start;
+  Self.Zone = Settings.Zone;
+  Self.Region = Settings.Region;
+  Self.PeerAddress = Settings.Advertise.value_or(Settings.PeerListen);
+  return Self;
+}
+
+// Witnesses are named by their address in the settings.
+std::vector<NodeName> witnessNames(const NodeSettings &Settings) {
+  std::vector<NodeName> Names;
+  for (const Endpoint &Address : Settings.Witnesses)
+    Names.emplace_back(Address.str());
+  return Names;
+}
+
+} // namespace
+
+NodeDistribution::NodeDistribution(EventLoop &Loop, HttpClient &Http,
+                                   Metrics &Registry,
+                                   const NodeSettings &Settings,
+                                   Incarnation Start, Hooks NewHooks,
+                                   DistributedState State, RevisionGate Gate)
+    : Loop(Loop), Http(Http), Registry(Registry), Settings(Settings),
+      Start(Start), Callbacks(std::move(NewHooks)), State(std::move(State)),
+      Gate(std::move(Gate)) {}
+
+Result<std::unique_ptr<NodeDistribution>>
+NodeDistribution::create(EventLoop &Loop, HttpClient &Client, Metrics &Registry,
+                         const NodeSettings &Settings, Incarnation Start,
+                         Hooks NewHooks) {
+  auto State = DistributedState::create();
+  if (!State)
+    return tl::make_unexpected(State.error());
+  RevisionGateOptions GateOptions;
+  GateOptions.Witnesses = witnessNames(Settings);
+  auto Gate = RevisionGate::create(std::move(GateOptions), Loop.now());
+  if (!Gate)
+    return tl::make_unexpected(Gate.error());
+  std::unique_ptr<NodeDistribution> Made(new NodeDistribution(
+      Loop, Client, Registry, Settings, Start, std::move(NewHooks),
+      std::move(*State), std::move(*Gate)));
+  if (auto Built = Made->build(); !Built)
+    return tl::make_unexpected(Built.error());
+  return Made;
+}
+
+Result<void> NodeDistribution::build() {
+  SyncTransport::Hooks TransportHooks;
+  TransportHooks.OnResponse = [this](const SyncResponse &Response) {
+    this->Client->onResponse(Response, this->Loop.now());
+  };
+  TransportHooks.OnFailure = [this](std::uint64_t Sequence) {
+    this->Client->onFailure(Sequence, this->Loop.now());
+  };
+  TransportHooks.OnRedirect = [this](std::uint64_t Sequence,
+                                     const Endpoint &Leader) {
+    this->Client->onRedirect(Sequence, Leader, this->Loop.now());
+  };
+  auto TransportMade = SyncTransport::create(this->Http, this->Registry,
+                                             std::move(TransportHooks));
+  if (!TransportMade)
+    return tl::make_unexpected(TransportMade.error());
+  this->Transport = std::move(*TransportMade);
+  auto ClientMade =
+      SyncClient::create(this->State, memberOf(this->Settings, this->Start),
+                         this->Settings.Control, {}, this->clientHooks());
+  if (!ClientMade)
+    return tl::make_unexpected(ClientMade.error());
+  this->Client = std::move(*ClientMade);
+  auto ServerMade = SyncServer::create(this->State, {}, this->serverHooks());
+  if (!ServerMade)
+    return tl::make_unexpected(ServerMade.error());
+  this->Server = std::move(*ServerMade);
+  return {};
+}
+
+SyncClientHooks NodeDistribution::clientHooks() {
+  SyncClientHooks Made;
+  Made.Send = [this](const Endpoint &To, const SyncRequest &Request) {
+    this->Transport->send(To, Request);
+  };
+  Made.CheckClosure = [](const ResourceMap &Staged) -> Result<void> {
+    auto Checked = RoutingView::create(Staged);
+    if (!Checked)
+      return tl::make_unexpected(Checked.error());
+    return {};
+  };
+  Made.MayApply = [this](const ClusterId &Cluster, Revision Next) {
+    return this->Gate.mayApply(Cluster, Next);
+  };
+  Made.OnChanged = [this](bool Replicated, bool Members) {
+    this->onChanged(Replicated, Members);
+  };
+  Made.OnConfirmed = [this](const ClusterId &Cluster, Revision Current) {
+    this->Gate.confirmed(Cluster, Current);
+  };
+  Made.Random = systemRandom();
+  return Made;
+}
+
+SyncServerHooks NodeDistribution::serverHooks() {
+  SyncServerHooks Made;
+  Made.SourceAge = [this](Instant Now) { return this->Client->sourceAge(Now); };
+  Made.OnUplink = [this](Urgency How) {
+    this->Client->addUplink(this->Server->takeUplink(), How, this->Loop.now());
+  };
+  Made.Random = systemRandom();
+  return Made;
+}
+
+void NodeDistribution::onChanged(bool Replicated, bool Members) {
+  if (Replicated) {
+    auto Made = RoutingView::create(this->State.Replicated.resources());
+    if (!Made) {
+      // The closure was checked before the state was put in force.
+      logFor("config")->error("State in force is not consistent: {}.",
+                              Made.error().Message);
+      return;
+    }
+    this->View = std::make_shared<const RoutingView>(std::move(*Made));
+    this->Gate.applied(this->State.Cluster, this->inForce());
+    this->Log.push_back({this->inForce(), wallNow()});
+    if (this->Log.size() > MaxLog)
+      this->Log.pop_front();
+    logFor("config")->info("Revision {} is in force.", this->inForce().value());
+  }
+  if (Replicated || Members) {
+    this->Server->wake(this->Loop.now());
+    this->Callbacks.OnChanged();
+  }
+}
+
+void NodeDistribution::addPeerRoutes(HttpRouter &Router) {
+  Router.post("/v1/sync", MaxJsonBodyBytes,
+              [this](auto Exchange, std::string Body) {
+                this->serveChild(Exchange, Body);
+              });
+  Router.get("/v1/revision",
+             [this](auto Exchange) { this->serveRevision(*Exchange); });
+}
+
+void NodeDistribution::serveChild(std::shared_ptr<ServerExchange> Exchange,
+                                  const std::string &Body) {
+  auto Value = parseJson(Body);
+  if (!Value)
+    return respondError(*Exchange, 400, Value.error().Message);
+  auto Request = syncRequestFromJson(*Value, this->Loop.now());
+  if (!Request)
+    return respondError(*Exchange, 400, Request.error().Message);
+  this->Registry.counter("relay_bytes_in_total") += Body.size();
+  ServerExchange::Hooks Hooks;
+  Hooks.OnAborted = [this, Node = Request->Node, Sequence = Request->Sequence] {
+    this->Server->abandon(Node, Sequence);
+  };
+  Exchange->setHooks(std::move(Hooks));
+  this->Server->handle(
+      *Request, this->Loop.now(), [this, Exchange](const SyncResponse &Answer) {
+        std::string Text = dumpJson(toJson(Answer));
+        this->Registry.counter("relay_bytes_out_total") += Text.size();
+        Exchange->setHooks({});
+        respond(*Exchange, 200, "application/json", Text);
+      });
+}
+
+void NodeDistribution::serveRevision(ServerExchange &Exchange) const {
+  respondJson(Exchange, 200,
+              {{"node", this->Settings.Name.str()},
+               {"cluster", this->State.Cluster.str()},
+               {"revision", this->inForce().value()},
+               {"safe", this->mayServe()}});
+}
+
+void NodeDistribution::askWitnesses() {
+  for (const Endpoint &Address : this->Settings.Witnesses) {
+    HttpRequestHead Head;
+    Head.Method = "GET";
+    Head.Target = "/v1/revision";
+    this->Http.call(Address, Head, "", WitnessTimeout, MaxJsonBodyBytes,
+                    [this, Address](Result<HttpResponse> Answer) {
+                      if (!Answer || Answer->Head.Status != 200)
+                        return;
+                      if (auto Value = parseJson(Answer->Body))
+                        this->onWitness(Address, *Value);
+                    });
+  }
+}
+
+void NodeDistribution::onWitness(const Endpoint &From, const Json &Answer) {
+  WitnessAnswer Said;
+  Said.Cluster = ClusterId(textAt(Answer, "cluster"));
+  Said.InForce = Revision(numberAt(Answer, "revision"));
+  Said.Safe = boolAt(Answer, "safe");
+  auto Taken =
+      this->Gate.witnessed(NodeName(From.str()), Said, this->Loop.now());
+  if (!Taken)
+    logFor("config")->warn("{}.", Taken.error().Message);
+}
+
+void NodeDistribution::start() {
+  this->Client->requestConfirmation(true);
+  this->Client->start(this->Loop.now());
+}
+
+void NodeDistribution::tick() {
+  Instant Now = this->Loop.now();
+  this->Client->tick(Now);
+  this->Server->tick(Now);
+  if (this->mayServe()) {
+    this->Client->requestConfirmation(false);
+  } else if (Now >= this->NextWitnessRound) {
+    this->NextWitnessRound = Now + WitnessInterval;
+    this->askWitnesses();
+  }
+}
+
+void NodeDistribution::announce(const Member &Self) {
+  this->Client->announce(Self, this->Loop.now());
+}
+
+void NodeDistribution::leave() { this->Client->leave(this->Loop.now()); }
+
+void NodeDistribution::observe(std::optional<Json> Counters) {
+  this->Client->observe(std::move(Counters), this->Loop.now());
+}
+
+std::vector<Member> NodeDistribution::members() const {
+  return membersIn(this->State.Members.resources());
+}
+
+std::vector<DepartedMember> NodeDistribution::departed() const {
+  return departedIn(this->State.Members.resources());
+}
+
+Json NodeDistribution::dump() const {
+  Json Entries = Json::array();
+  for (const InForceEntry &One : this->Log) {
+    auto Millis =
+        std::chrono::duration<double, std::milli>(One.At.time_since_epoch());
+    Entries.push_back(
+        {{"revision", One.Number.value()}, {"at_ms", Millis.count()}});
+  }
+  const auto &Refused = this->Client->refusal();
+  return {{"cluster", this->State.Cluster.str()},
+          {"revision", this->inForce().value()},
+          {"in_force_log", Entries},
+          {"may_serve", this->mayServe()},
+          {"wait_reason", this->waitReason()},
+          {"refused", Refused ? Refused->Reason : ""},
+          {"parent", this->Client->parent().str()},
+          {"source_age_us", this->Client->sourceAge(this->Loop.now()).count()},
+          {"children", this->Server->children()},
+          {"members_version",
+           {this->State.Members.current().Epoch,
+            this->State.Members.current().Sequence}},
+          {"members_complete", this->State.Members.complete()},
+          {"members", this->State.Members.resources()},
+          {"resources", this->State.Replicated.resources()}};
+}
+
+} // namespace amaranthward
--- /dev/null
+++ b/src/amaranthward/synctransport.h
@@ -0,0 +1,46 @@
+#ifndef AMARANTHWARD_AMARANTHWARD_SYNCTRANSPORT_H
+#define AMARANTHWARD_AMARANTHWARD_SYNCTRANSPORT_H
+
+#include "libdistribution/syncmessages.h"
+#include "libnet/httpclient.h"
+
+namespace amaranthward {
+
+/// Carries the sync protocol of a node over HTTP, one request at a time.
+class SyncTransport {
+public:
+  struct Hooks {
+    std::function<void(const SyncResponse &)> OnResponse;
+    std::function<void(std::uint64_t Sequence)> OnFailure;
+    /// The process does not lead; the address of the leader may be empty.
+    std::function<void(std::uint64_t Sequence, const Endpoint &Leader)>
+        OnRedirect;
+  };
+
+  static Result<std::unique_ptr<SyncTransport>>
+  create(HttpClient &Client, Metrics &Registry, Hooks NewHooks);
+
+  /// Replaces a request under way, which is cancelled.
+  void send(const Endpoint &To, const SyncRequest &Request);
+
+  /// Largest response; chunks are smaller by far.
+  static constexpr std::size_t MaxResponseBytes = 1024 * 1024;
+
+private:
+  SyncTransport(HttpClient &Client, Metrics &Registry, Hooks NewHooks)
+      : Client(Client), BytesIn(Registry.counter("control_bytes_in_total")),
+        BytesOut(Registry.counter("control_bytes_out_total")),
+        Callbacks(std::move(NewHooks)) {}
+  void onEnd(std::uint64_t Sequence);
+
+  HttpClient &Client;
+  std::uint64_t &BytesIn;
+  std::uint64_t &BytesOut;
+  Hooks Callbacks;
+  std::shared_ptr<ClientExchange> UnderWay;
+  HttpResponse Received;
+};
+
+} // namespace amaranthward
+
+#endif
--- a/src/libcontrol/controlservice.cpp
+++ b/src/libcontrol/controlservice.cpp
@@ -137,10 +137,12 @@
             Error{ErrorCode::Unavailable, "the outcome is not known here"}});
   };
   this->Replica->propose(dumpJson(Command->toJson()), std::move(Done));
+  this->workPending();
 }
 
 void ControlService::receive(const ReplicaName &From, const Json &Message) {
   this->Replica->receive(From, Message);
+  this->workPending();
 }
 
 void ControlService::sync(const SyncRequest &Request,
@@ -219,6 +221,7 @@
       logFor("moves")->warn("A decision was not recorded: {}.",
                             At.error().Message);
   });
+  this->workPending();
 }
 
 void ControlService::startConfirmation() {
@@ -233,6 +236,7 @@
     this->ConfirmedSince = this->ConfirmingSince;
     this->Server->wake(this->Hooks.Now());
   });
+  this->workPending();
 }
 
 std::vector<ParentCandidate>
@@ -260,6 +264,11 @@
   return this->Sessions->inForce(this->Publisher.state().inForce());
 }
 
+void ControlService::workPending() {
+  if (this->Hooks.OnWork)
+    this->Hooks.OnWork();
+}
+
 void ControlService::changed() {
   if (this->Hooks.OnChange)
     this->Hooks.OnChange();
--- a/src/libcontrol/controlservice.h
+++ b/src/libcontrol/controlservice.h
@@ -29,6 +29,8 @@
   std::function<void(const ReplicaName &To, const Json &Message)> SendToReplica;
   /// The state changed, or the role, or how far a revision is in force.
   std::function<void()> OnChange;
+  /// A call of tick() is due at the end of this turn of the loop.
+  std::function<void()> OnWork;
   NowFunction Now;
   WallFunction Wall;
   RandomFunction Random;
@@ -82,6 +84,7 @@
   std::vector<ParentCandidate> parentsFor(const SyncRequest &Request);
   std::vector<Member> members() const;
   void changed();
+  void workPending();
 
   ControlServiceHooks Hooks;
   ControlState State;
