--- /dev/null
+++ b/src/libconsensus/election.cpp
@@ -0,0 +1,158 @@
+#include "libconsensus/election.h"
+
+#include "libconsensus/wire.h"
+
+namespace amaranthward {
+
+Election::Election(ReplicaCore &Core, std::function<void()> OnElected)
+    : Core(Core), OnElected(std::move(OnElected)) {
+  this->resetTimer();
+}
+
+void Election::resetTimer() {
+  Duration Timeout = this->Core.options().ElectionTimeout;
+  auto Spread = static_cast<std::uint64_t>(Timeout.count());
+  auto Extra = this->Core.hooks().Random() % (Spread + 1);
+  this->Deadline =
+      this->Core.now() + Timeout + Duration(static_cast<Duration::rep>(Extra));
+}
+
+void Election::holdOff(Duration Delay) {
+  this->resetTimer();
+  this->Deadline += Delay;
+}
+
+void Election::noteLeader() {
+  this->LeaderHeard = this->Core.now();
+  this->resetTimer();
+}
+
+bool Election::hasLiveLeader() const {
+  if (this->Core.isLeader())
+    return true;
+  return this->LeaderHeard && this->Core.now() - *this->LeaderHeard <
+                                  this->Core.options().ElectionTimeout;
+}
+
+void Election::tick() {
+  if (this->Core.isLeader() || this->Core.now() < this->Deadline)
+    return;
+  this->resetTimer();
+  if (!this->Core.leader().empty())
+    this->Core.becomeFollower(ReplicaName());
+  // A replica whose disk is not in the voter set may have lost entries that
+  // it once acknowledged; it neither campaigns nor counts.
+  if (this->Core.isVoter())
+    this->startPreVote();
+}
+
+bool Election::won() const {
+  return this->Core.voters().hasMajority([this](const DiskIdentity &Disk) {
+    return this->Granted.contains(Disk);
+  });
+}
+
+void Election::requestVotes(const char *Type, Json Body) {
+  Body["last_index"] = this->Core.log().lastIndex().value();
+  Body["last_term"] = this->Core.lastTerm().value();
+  for (const auto &[Disk, Replica] : this->Core.voters().Voters)
+    if (Disk != this->Core.identity())
+      this->Core.send(Replica, Disk, Type, Body);
+}
+
+void Election::startPreVote() {
+  this->Core.becomeCandidate(Role::PreCandidate);
+  this->Granted = {this->Core.identity()};
+  if (this->won())
+    return this->startElection(/*Transfer=*/false);
+  this->requestVotes(wire::PreVote,
+                     {{"next_term", this->Core.term().next().value()}});
+}
+
+void Election::startElection(bool Transfer) {
+  if (!this->Core.persistTerm(this->Core.term().next(),
+                              this->Core.identity())) {
+    this->Core.becomeFollower(ReplicaName());
+    return;
+  }
+  this->Core.becomeCandidate(Role::Candidate);
+  this->resetTimer();
+  this->Granted = {this->Core.identity()};
+  if (this->won()) {
+    this->Core.becomeLeader();
+    return this->OnElected();
+  }
+  this->requestVotes(wire::Vote, {{"transfer", Transfer}});
+}
+
+bool Election::hasCurrentLog(const Json &Message) const {
+  Term LastTerm(numberAt(Message, "last_term"));
+  LogIndex LastIndex(numberAt(Message, "last_index"));
+  if (LastTerm != this->Core.lastTerm())
+    return LastTerm > this->Core.lastTerm();
+  return LastIndex >= this->Core.log().lastIndex();
+}
+
+void Election::receivePreVote(const ReplicaName &From, const Json &Message) {
+  Term Next(numberAt(Message, "next_term"));
+  bool Grant = !this->hasLiveLeader() && Next > this->Core.term() &&
+               this->hasCurrentLog(Message);
+  this->Core.send(From, DiskIdentity(textAt(Message, "from")),
+                  wire::PreVoteReply,
+                  {{"granted", Grant}, {"next_term", Next.value()}});
+}
+
+void Election::receivePreVoteReply(const Json &Message) {
+  DiskIdentity From(textAt(Message, "from"));
+  bool Current =
+      Term(numberAt(Message, "next_term")) == this->Core.term().next();
+  if (this->Core.role() != Role::PreCandidate || !Current ||
+      !boolAt(Message, "granted"))
+    return;
+  this->Granted.insert(From);
+  if (this->won())
+    this->startElection(/*Transfer=*/false);
+}
+
+void Election::receiveVote(const ReplicaName &From, const Json &Message) {
+  DiskIdentity Candidate(textAt(Message, "from"));
+  Term Requested(numberAt(Message, "term"));
+  bool NewTerm = Requested > this->Core.term();
+  // A candidate that lost contact must not unseat a leader that others hear.
+  if (NewTerm && this->hasLiveLeader() && !boolAt(Message, "transfer"))
+    return;
+  bool Free =
+      NewTerm || this->Core.vote().empty() || this->Core.vote() == Candidate;
+  bool Grant =
+      Requested >= this->Core.term() && Free && this->hasCurrentLog(Message);
+  if (NewTerm) {
+    if (!this->Core.persistTerm(Requested, Grant ? Candidate : DiskIdentity()))
+      return;
+    this->Core.becomeFollower(ReplicaName());
+  } else if (Grant && this->Core.vote().empty()) {
+    if (!this->Core.persistTerm(Requested, Candidate))
+      return;
+  }
+  if (Grant)
+    this->resetTimer();
+  this->Core.send(From, Candidate, wire::VoteReply, {{"granted", Grant}});
+}
+
+void Election::receiveVoteReply(const Json &Message) {
+  bool Current = Term(numberAt(Message, "term")) == this->Core.term();
+  if (this->Core.role() != Role::Candidate || !Current ||
+      !boolAt(Message, "granted"))
+    return;
+  this->Granted.insert(DiskIdentity(textAt(Message, "from")));
+  if (!this->won())
+    return;
+  this->Core.becomeLeader();
+  this->OnElected();
+}
+
+void Election::receiveTimeoutNow() {
+  if (this->Core.isVoter() && !this->Core.isLeader())
+    this->startElection(/*Transfer=*/true);
+}
+
+} // namespace amaranthward
--- a/src/libconsensus/folder.h
+++ b/src/libconsensus/folder.h
@@ -9,9 +9,10 @@
 
 namespace amaranthward {
 
-/// Access to the files of one data folder, by plain file name. Every function
-/// fails with Exhausted when space runs out and with Io otherwise. Nothing is
-/// durable before \a sync (contents) and \a syncFolder (names).
+/// Access to the files of one data folder, by plain file name. Functions fail
+/// with Exhausted when space runs out and with Io otherwise; the sync functions
+/// fail with Io only. Nothing is durable before \a sync (contents) and
+/// \a syncFolder (names).
 class Folder {
 public:
   virtual ~Folder() = default;
