--- a/src/libdistribution/joinlimiter.h
+++ b/src/libdistribution/joinlimiter.h
@@ -27,7 +27,7 @@
   JoinLimiterOptions Options;
   Instant WindowStart;
   std::uint32_t Admitted = 0;
-  std::uint32_t Refused = 0;
+  std::uint64_t Waiting = 0;
   bool Started = false;
 };
 
--- /dev/null
+++ b/src/libdistribution/jsonfields.cpp
@@ -0,0 +1,69 @@
+#include "libdistribution/jsonfields.h"
+
+namespace amaranthward {
+
+JsonFields::JsonFields(const Json &Object, const char *What)
+    : Object(Object), What(What) {
+  if (!Object.is_object())
+    this->fault("is not a JSON object");
+}
+
+const Json *JsonFields::find(const char *Key) const {
+  if (!this->Object.is_object())
+    return nullptr;
+  auto Found = this->Object.find(Key);
+  return Found == this->Object.end() ? nullptr : &*Found;
+}
+
+std::uint64_t JsonFields::number(const char *Key) {
+  const Json *Value = this->find(Key);
+  if (Value && Value->is_number_unsigned())
+    return Value->get<std::uint64_t>();
+  this->fault(std::string("field ") + Key + " is not an unsigned number");
+  return 0;
+}
+
+std::uint64_t JsonFields::numberOr(const char *Key, std::uint64_t Default) {
+  return this->find(Key) ? this->number(Key) : Default;
+}
+
+std::string JsonFields::text(const char *Key) {
+  const Json *Value = this->find(Key);
+  if (Value && Value->is_string())
+    return Value->get<std::string>();
+  this->fault(std::string("field ") + Key + " is not a string");
+  return {};
+}
+
+std::string JsonFields::textOr(const char *Key, const char *Default) {
+  return this->find(Key) ? this->text(Key) : std::string(Default);
+}
+
+bool JsonFields::flag(const char *Key) {
+  const Json *Value = this->find(Key);
+  if (!Value)
+    return false;
+  if (Value->is_boolean())
+    return Value->get<bool>();
+  if (*Value == Json(1U))
+    return true;
+  this->fault(std::string("field ") + Key + " is not a flag");
+  return false;
+}
+
+const Json *JsonFields::array(const char *Key) {
+  const Json *Value = this->find(Key);
+  if (Value && !Value->is_array()) {
+    this->fault(std::string("field ") + Key + " is not an array");
+    return nullptr;
+  }
+  return Value;
+}
+
+void JsonFields::fault(const std::string &Message) {
+  if (!this->Failure)
+    this->Failure = Error{ErrorCode::InvalidArgument,
+                          std::string(this->What) + ": " + Message};
+}
+
+} // namespace amaranthward
--- a/src/libdistribution/parentselector.h
+++ b/src/libdistribution/parentselector.h
@@ -13,8 +13,11 @@
   /// A parent that stays behind its child, or that has not heard from the
   /// leader, for this time is given up.
   Duration MaxBehind = std::chrono::seconds(3);
-  /// How often a child returns to its first choice.
+  /// When a child that uses another candidate tries its first choice again.
   Duration ReturnInterval = std::chrono::seconds(10);
+  /// Mean time between two attempts of a node that has candidates to reach a
+  /// control replica, so that an outage does not end in a storm.
+  Duration ControlInterval = std::chrono::seconds(10);
 };
 
 /// Which process a child asks next: its candidates in order, then the control
@@ -30,27 +33,36 @@
     bool Fallback = false;
   };
 
+  /// \param Witnesses Tried for data after the control replicas failed.
   ParentSelector(std::vector<Endpoint> ControlReplicas,
+                 const std::vector<ParentCandidate> &Witnesses,
                  ParentSelectorOptions Options, RandomFunction Random);
 
-  /// \param OtherRoots Tried for data after the control replicas failed.
+  /// \param NewOtherRoots Tried for data after the control replicas failed;
+  ///        the witnesses stay when it is empty.
   void setCandidates(std::vector<ParentCandidate> NewCandidates,
-                     std::vector<ParentCandidate> NewOtherRoots, Instant Now);
+                     std::vector<ParentCandidate> NewOtherRoots);
   Choice current() const;
+  /// The control replica to ask for what only the leader knows.
+  Choice control() const;
   /// The current choice failed; returns the time to wait before the next one
   /// is asked.
   Duration failed(Instant Now);
   /// The current choice gave a useful answer.
   void succeeded(Instant Now);
-  /// The current choice answers but is behind or cut off from the leader.
-  /// Returns true when the child should ask the next one.
-  bool behind(Instant Now);
+  /// The current choice has less than its child. Given up, as with
+  /// \a failed, when that lasts.
+  Duration behind(Instant Now);
   void leaderHint(const Endpoint &Leader);
+  /// The control replica that was asked with \a control failed.
+  void controlFailed();
   bool hasCandidates() const { return !this->Candidates.empty(); }
+  const ParentSelectorOptions &options() const { return this->Options; }
 
 private:
+  std::vector<Endpoint> controlOrder() const;
   std::size_t choices() const;
-  bool onFirstChoice() const { return this->Position == 0; }
+  Duration jittered(Duration Whole) const;
 
   std::vector<Endpoint> Control;
   ParentSelectorOptions Options;
@@ -59,10 +71,10 @@
   std::vector<ParentCandidate> OtherRoots;
   Endpoint Leader;
   std::size_t Position = 0;
-  std::size_t ControlPosition = 0;
   std::uint32_t FailedRounds = 0;
   std::optional<Instant> BehindSince;
-  std::optional<Instant> LeftFirstAt;
+  Instant LeftFirstAt;
+  Instant NextControlAt;
 };
 
 } // namespace amaranthward
--- a/src/libdistribution/resourcetable.h
+++ b/src/libdistribution/resourcetable.h
@@ -33,7 +33,8 @@
   std::size_t deltaBytes(TableVersion Since) const;
 
   /// Makes \a Changes at \a Version. Fails with Stale unless \a Version is
-  /// above the current one. A value equal to the present one is no change.
+  /// above the current one. A value equal to the present one is no change,
+  /// unless the present one is of an earlier epoch.
   Result<void> apply(const std::vector<ResourceChange> &Changes,
                      TableVersion Version);
   /// Starts an incomplete table at \a Version, which has a new epoch; the
@@ -47,8 +48,10 @@
   /// snapshot, whichever is smaller; always the snapshot below the floor and
   /// across epochs. At least one change is sent whatever its size.
   TableChunk read(TableVersion Since, std::size_t MaxBytes) const;
-  /// The chunk after \a From, or the first chunk of a new snapshot when
-  /// removals after \a From have been forgotten.
+  /// False when this table is behind the sender of the earlier chunks or has
+  /// forgotten removals since; the transfer then starts again.
+  bool canContinue(const TableCursor &From) const;
+  /// The chunk after \a From.
   TableChunk read(const TableCursor &From, std::size_t MaxBytes) const;
 
   /// Installs a received transfer in one step. Fails with Stale when
@@ -71,9 +74,7 @@
   void forgetTombstone(const std::string &Key);
   void trimTombstones();
   void dropBefore(std::uint64_t Epoch);
-  TableChunk fill(TableChunk Chunk, const Position &After,
-                  TableVersion RemovalsAfter, TableVersion Start,
-                  std::size_t MaxBytes) const;
+  void fill(TableChunk &Chunk, TableCursor At, std::size_t MaxBytes) const;
 
   TableLimits Limits;
   TableVersion Current;
--- a/src/libdistribution/revisiongate.h
+++ b/src/libdistribution/revisiongate.h
@@ -63,7 +63,7 @@
   RevisionGate(RevisionGateOptions Options, Instant Started)
       : Options(std::move(Options)), Started(Started) {}
   void conclude();
-  std::optional<Revision> safeRevision() const;
+  Result<Revision> safeRevision() const;
 
   RevisionGateOptions Options;
   Instant Started;
--- a/src/libdistribution/sessiontable.h
+++ b/src/libdistribution/sessiontable.h
@@ -35,9 +35,9 @@
 public:
   static Result<std::unique_ptr<SessionTable>> create(SessionOptions Options);
 
-  /// Starts with no session in the epoch \a Epoch; nothing expires and the
+  /// Starts with no session in the epoch \a NewEpoch; nothing expires and the
   /// member table stays incomplete until a full expiry time has passed.
-  void becomeLeader(Term Epoch, ResourceTable &Members, Instant Now);
+  void becomeLeader(Term NewEpoch, ResourceTable &Members, Instant Now);
   /// After an outage of the leader's own, nothing expires until a full
   /// expiry time has passed.
   void restartGrace(Instant Now);
@@ -79,7 +79,11 @@
   explicit SessionTable(SessionOptions Options) : Options(Options) {}
   Urgency announce(const Announcement &Subject, Instant Now);
   bool mayAnnounce(const Announcement &Subject, Instant Now) const;
+  void revive(const Member &Subject);
   void depart(SessionId Id, Cause Why, Instant Now);
+  void recordDeparture(const DepartedMember &Subject, Cause Why,
+                       std::uint64_t Sequence, Instant Now);
+  void departUnconfirmed(const ResourceTable &Members, Instant Now);
   void noteActivity(Instant Now);
   const Session *sessionOf(const NodeName &Node) const;
 
--- /dev/null
+++ b/src/libdistribution/syncclient.cpp
@@ -0,0 +1,361 @@
+#include "libdistribution/syncclient.h"
+
+#include <algorithm>
+
+namespace amaranthward {
+
+namespace {
+
+// More redirects in a row mean that the replicas disagree about the leader.
+constexpr std::uint32_t MaxRedirects = 3;
+// Requests whose outcome is unknown; beyond this their reports are resent.
+constexpr std::size_t MaxUnaccepted = 8;
+// Reported as source age by a node that never heard from the leader.
+constexpr Duration NeverHeard = std::chrono::hours(1);
+
+} // namespace
+
+Result<std::unique_ptr<SyncClient>>
+SyncClient::create(DistributedState &State, const Member &Self,
+                   const std::vector<Endpoint> &ControlReplicas,
+                   const std::vector<ParentCandidate> &Witnesses,
+                   SyncClientOptions Options, SyncClientHooks Hooks) {
+  if (ControlReplicas.empty())
+    return fail(ErrorCode::InvalidArgument, "no control replica is given");
+  if (!Hooks.Send || !Hooks.Random)
+    return fail(ErrorCode::InvalidArgument, "hook Send or Random is not set");
+  ParentSelector Selector(ControlReplicas, Witnesses, Options.Parents,
+                          Hooks.Random);
+  return std::unique_ptr<SyncClient>(new SyncClient(
+      State, Self, std::move(Selector), Options, std::move(Hooks)));
+}
+
+SyncClient::SyncClient(DistributedState &State, const Member &Self,
+                       ParentSelector Selector, SyncClientOptions Options,
+                       SyncClientHooks Hooks)
+    : State(State), Self(Self), Session(randomSession(Hooks.Random)),
+      Options(Options), Hooks(std::move(Hooks)), Selector(std::move(Selector)) {
+}
+
+void SyncClient::start(Instant Now) {
+  this->refreshParents();
+  this->send(Now);
+}
+
+void SyncClient::send(Instant Now) {
+  this->AskedConfirmation = this->confirmationDue(Now);
+  const ParentSelector::Choice To = this->AskedConfirmation
+                                        ? this->Selector.control()
+                                        : this->Selector.current();
+  if (this->AskedConfirmation)
+    this->ConfirmationAskedAt = Now;
+  this->Target = To.Address;
+  this->SendAt.reset();
+  this->LastSent = Now;
+  this->InFlight = true;
+  this->SilenceAt = Now + this->ParentHold + this->Options.SilenceMargin;
+  const SyncRequest Request = this->buildRequest(To, Now);
+  this->Hooks.Send(To.Address, Request);
+}
+
+SyncRequest SyncClient::buildRequest(const ParentSelector::Choice &To,
+                                     Instant Now) {
+  SyncRequest Request;
+  Request.Node = this->Self.Node;
+  Request.Start = this->Self.Start;
+  Request.Zone = this->Self.Zone;
+  Request.Sequence = ++this->Sequence;
+  Request.Cluster = this->State.Cluster;
+  Request.InForce = this->State.inForce();
+  Request.Members = this->State.Members.current();
+  Request.ReplicatedCursor = this->ReplicatedStaging.cursor();
+  Request.MemberCursor = this->MemberStaging.cursor();
+  if (this->Refusal)
+    Request.Refused = this->Refusal->Refused;
+  Request.WantsParents =
+      To.IsControl && !To.Fallback && Request.Members == TableVersion();
+  Request.Fallback = To.Fallback;
+  Request.WantsConfirmation = To.IsControl && this->WantsConfirmation;
+  // Two roots may take data from each other; reports would circulate there.
+  if (To.DataOnly)
+    return Request;
+  this->Pending.dropRenewalsBefore(Now - this->Options.MaxRenewalAge);
+  Request.Uplink = std::exchange(this->Pending, UplinkBatch());
+  this->Unaccepted[Request.Sequence] = Request.Uplink;
+  if (this->Unaccepted.size() > MaxUnaccepted) {
+    this->Pending.merge(this->Unaccepted.begin()->second);
+    this->Unaccepted.erase(this->Unaccepted.begin());
+  }
+  this->addOwnReports(Request.Uplink, Now);
+  return Request;
+}
+
+void SyncClient::addOwnReports(UplinkBatch &Batch, Instant Now) {
+  if (!this->Gone)
+    Batch.renew(this->Session, this->State.inForce(), Now);
+  const bool Due = !this->AnnouncedAt ||
+                   Now - *this->AnnouncedAt >= this->Options.AnnounceRetry;
+  if (this->Gone || (Due && !this->announced())) {
+    this->AnnouncedAt = Now;
+    Batch.announce(
+        {this->Session, ++this->AnnounceSequence, this->Self, this->Gone});
+  }
+  if (this->Refusal)
+    Batch.refuse(*this->Refusal);
+  const std::uint64_t Epoch = this->State.Members.current().Epoch;
+  if (this->Counters &&
+      (!this->CountersSentAt || Epoch != this->CountersEpoch ||
+       Now - *this->CountersSentAt >= this->Options.ObservationRetry)) {
+    Batch.observe({this->Self.Node, this->Self.Start, *this->Counters});
+    this->CountersSentAt = Now;
+    this->CountersEpoch = Epoch;
+  }
+}
+
+void SyncClient::onResponse(const SyncResponse &Response, Instant Now) {
+  this->Unaccepted.erase(Response.Sequence);
+  if (!this->InFlight || Response.Sequence != this->Sequence)
+    return;
+  this->finishRequest();
+  this->Redirects = 0;
+  if (Response.RetryAfter) {
+    this->SendAt = Now + *Response.RetryAfter;
+    return;
+  }
+  this->ParentHold = Response.Hold;
+  const bool WasAsked = this->AskedConfirmation;
+  const bool Empty = !Response.ReplicatedChunk && !Response.MemberChunk;
+  if (Response.Confirmed && this->Hooks.OnConfirmed)
+    this->Hooks.OnConfirmed(Response.Cluster, *Response.Confirmed);
+  if (Response.Parents && !Response.Parents->empty())
+    this->Selector.setCandidates(*Response.Parents, {});
+  else if (!WasAsked)
+    this->judgeParent(Response, Now);
+  this->digest(Response);
+  if (this->SendAt || this->InFlight)
+    return;
+  // A parent that answers at once without news would be asked in a tight loop.
+  const Instant Earliest = this->LastSent + this->ParentHold / 4;
+  if (Empty && !Response.Parents && Now < Earliest)
+    this->SendAt = Earliest;
+  else
+    this->send(Now);
+}
+
+void SyncClient::judgeParent(const SyncResponse &Response, Instant Now) {
+  const Instant Heard = Now - Response.SourceAge;
+  if (!this->SourceHeard || *this->SourceHeard < Heard)
+    this->SourceHeard = Heard;
+  const bool SameCluster =
+      this->State.Cluster.empty() || Response.Cluster == this->State.Cluster;
+  const bool Behind = !SameCluster ||
+                      Response.InForce < this->State.inForce() ||
+                      Response.Members < this->State.Members.current();
+  Duration Wait = Duration::zero();
+  if (Response.SourceAge >= this->Selector.options().MaxBehind &&
+      !this->Selector.current().DataOnly)
+    Wait = this->Selector.failed(Now);
+  else if (Behind)
+    Wait = this->Selector.behind(Now);
+  else
+    this->Selector.succeeded(Now);
+  if (Wait > Duration::zero())
+    this->SendAt = Now + Wait;
+}
+
+void SyncClient::digest(const SyncResponse &Response) {
+  const bool Replicated = this->digestReplicated(Response);
+  const bool Members = this->digestMembers(Response);
+  if (Members)
+    this->refreshParents();
+  if ((Replicated || Members) && this->Hooks.OnChanged)
+    this->Hooks.OnChanged(Replicated, Members);
+}
+
+bool SyncClient::digestReplicated(const SyncResponse &Response) {
+  if (!Response.ReplicatedChunk ||
+      !this->ReplicatedStaging.add(*Response.ReplicatedChunk))
+    return false;
+  const Revision Next = this->ReplicatedStaging.target().revision();
+  const bool Fresh = this->State.Cluster.empty() ||
+                     Response.Cluster != this->State.Cluster ||
+                     Next > this->State.inForce();
+  auto Done = this->checkStaged(Response.Cluster);
+  if (Done && Fresh)
+    Done = this->ReplicatedStaging.installInto(this->State.Replicated);
+  this->ReplicatedStaging.clear();
+  if (!Done) {
+    this->refuse(Next, Done.error().Message);
+    return false;
+  }
+  if (!Fresh)
+    return false;
+  this->State.Cluster = Response.Cluster;
+  this->Refusal.reset();
+  return true;
+}
+
+Result<void> SyncClient::checkStaged(const ClusterId &Cluster) const {
+  if (!this->State.Cluster.empty() && Cluster != this->State.Cluster)
+    return fail(ErrorCode::Conflict,
+                "cluster id " + Cluster.str() + " differs from " +
+                    this->State.Cluster.str() + ", which is in force");
+  const Revision Next = this->ReplicatedStaging.target().revision();
+  if (this->Hooks.MayApply)
+    if (auto Allowed = this->Hooks.MayApply(Cluster, Next); !Allowed)
+      return Allowed;
+  if (!this->Hooks.CheckClosure)
+    return {};
+  return this->Hooks.CheckClosure(
+      this->ReplicatedStaging.preview(this->State.Replicated));
+}
+
+bool SyncClient::digestMembers(const SyncResponse &Response) {
+  if (!Response.MemberChunk || !this->MemberStaging.add(*Response.MemberChunk))
+    return false;
+  const bool Fresh =
+      this->MemberStaging.target() > this->State.Members.current();
+  const bool Installed =
+      Fresh && this->MemberStaging.installInto(this->State.Members).has_value();
+  this->MemberStaging.clear();
+  return Installed;
+}
+
+void SyncClient::refuse(Revision Refused, const std::string &Reason) {
+  this->Refusal = RefusedRevision{this->Self.Node, Refused, Reason};
+}
+
+void SyncClient::refreshParents() {
+  // A new leader does not know all members yet; keep the present parents.
+  if (!this->State.Members.complete())
+    return;
+  if (!this->View.refresh(this->State.Members))
+    return;
+  const RelayTree &Tree = this->View.treeOf(this->Self.Zone);
+  this->Selector.setCandidates(Tree.candidatesFor(this->Self.Node),
+                               Tree.otherRoots(this->Self.Node));
+}
+
+void SyncClient::onFailure(std::uint64_t Failed, Instant Now) {
+  if (!this->InFlight || Failed != this->Sequence)
+    return;
+  this->retryNext(Now);
+}
+
+void SyncClient::retryNext(Instant Now) {
+  this->finishRequest();
+  this->reclaimUplink();
+  if (this->AskedConfirmation) {
+    this->Selector.controlFailed();
+    this->SendAt = Now;
+    return;
+  }
+  this->SendAt = Now + this->Selector.failed(Now);
+}
+
+void SyncClient::reclaimUplink() {
+  for (const auto &[Number, Batch] : this->Unaccepted)
+    this->Pending.merge(Batch);
+  this->Unaccepted.clear();
+  this->CountersSentAt.reset();
+  if (!this->announced())
+    this->AnnouncedAt.reset();
+}
+
+void SyncClient::finishRequest() {
+  this->InFlight = false;
+  this->SilenceAt.reset();
+}
+
+void SyncClient::onRedirect(std::uint64_t Redirected, const Endpoint &Leader,
+                            Instant Now) {
+  if (!this->InFlight || Redirected != this->Sequence)
+    return;
+  if (Leader.empty() || ++this->Redirects > MaxRedirects) {
+    this->Redirects = 0;
+    this->retryNext(Now);
+    return;
+  }
+  this->finishRequest();
+  this->reclaimUplink();
+  this->Selector.leaderHint(Leader);
+  if (this->AskedConfirmation)
+    this->ConfirmationAskedAt.reset();
+  this->send(Now);
+}
+
+void SyncClient::tick(Instant Now) {
+  if (this->InFlight && this->SilenceAt && Now >= *this->SilenceAt)
+    this->retryNext(Now);
+  if (this->SendAt && Now >= *this->SendAt)
+    this->send(Now);
+}
+
+std::optional<Instant> SyncClient::nextDeadline() const {
+  if (this->SendAt && this->SilenceAt)
+    return std::min(*this->SendAt, *this->SilenceAt);
+  return this->SendAt ? this->SendAt : this->SilenceAt;
+}
+
+void SyncClient::interrupt(Instant When, Instant Now) {
+  // While waiting for a retry, the reports travel with that retry.
+  if (!this->InFlight)
+    return;
+  When = std::max(When, this->LastSent + this->Options.MinInterruptGap);
+  if (!this->SendAt || When < *this->SendAt)
+    this->SendAt = When;
+  if (Now >= *this->SendAt)
+    this->send(Now);
+}
+
+void SyncClient::announce(const Member &NewSelf, Instant Now) {
+  if (NewSelf == this->Self)
+    return;
+  this->Self = NewSelf;
+  this->AnnouncedAt.reset();
+  this->interrupt(Now, Now);
+}
+
+void SyncClient::leave(Instant Now) {
+  this->Gone = true;
+  this->Self.Leaving = true;
+  this->interrupt(Now, Now);
+}
+
+void SyncClient::observe(std::optional<Json> NewCounters) {
+  if (NewCounters == this->Counters)
+    return;
+  this->Counters = std::move(NewCounters);
+  this->CountersSentAt.reset();
+}
+
+void SyncClient::addUplink(const UplinkBatch &Batch, Urgency How, Instant Now) {
+  this->Pending.merge(Batch);
+  if (How == Urgency::Immediate)
+    this->interrupt(Now, Now);
+  else if (How == Urgency::Soon)
+    this->interrupt(Now + this->Options.UplinkLinger, Now);
+  else if (How == Urgency::Later)
+    this->interrupt(Now + this->Options.ObservationLinger, Now);
+}
+
+Duration SyncClient::sourceAge(Instant Now) const {
+  return this->SourceHeard ? Now - *this->SourceHeard : NeverHeard;
+}
+
+bool SyncClient::announced() const {
+  const std::string Key = memberKey(this->Self.Node);
+  const Json *Shown = this->State.Members.find(Key);
+  return Shown && *Shown == memberToJson(this->Self) &&
+         this->State.Members.versionOf(Key)->Epoch ==
+             this->State.Members.current().Epoch;
+}
+
+bool SyncClient::confirmationDue(Instant Now) const {
+  if (!this->WantsConfirmation || this->Selector.current().IsControl)
+    return false;
+  return !this->ConfirmationAskedAt ||
+         Now - *this->ConfirmationAskedAt >= this->Options.ConfirmationRetry;
+}
+
+} // namespace amaranthward
--- a/src/libdistribution/syncclient.h
+++ b/src/libdistribution/syncclient.h
@@ -2,6 +2,7 @@
 #define AMARANTHWARD_LIBDISTRIBUTION_SYNCCLIENT_H
 
 #include "libdistribution/distributedstate.h"
+#include "libdistribution/memberview.h"
 #include "libdistribution/parentselector.h"
 #include "libdistribution/tablestaging.h"
 #include <functional>
@@ -16,6 +17,8 @@
   Duration MaxRenewalAge = std::chrono::seconds(3);
   /// Non-urgent reports from children are collected for this time.
   Duration UplinkLinger = std::chrono::milliseconds(100);
+  /// Observations from children are collected for this time.
+  Duration ObservationLinger = std::chrono::milliseconds(300);
   /// Shortest time between two requests that interrupt a parked one.
   Duration MinInterruptGap = std::chrono::milliseconds(20);
   /// An announcement that the member table does not show after this time is
@@ -23,13 +26,17 @@
   Duration AnnounceRetry = std::chrono::seconds(2);
   /// Observations are repeated at this interval in case a relay lost them.
   Duration ObservationRetry = std::chrono::seconds(5);
+  /// While a confirmed revision is wanted, the control replicas are asked at
+  /// this interval.
+  Duration ConfirmationRetry = std::chrono::seconds(2);
   ParentSelectorOptions Parents;
 };
 
 struct SyncClientHooks {
-  /// Sends a request. It replaces a request in flight, whose exchange the
-  /// transport cancels. Report the outcome through \a onResponse,
-  /// \a onFailure or \a onRedirect.
+  /// Sends a request and reports the outcome through \a onResponse,
+  /// \a onFailure or \a onRedirect. It may replace a request in flight. The
+  /// transport sends it on another connection and need not cancel the earlier
+  /// exchange, because the parent answers that one when the new one arrives.
   std::function<void(const Endpoint &To, const SyncRequest &Request)> Send;
   /// Checks that staged replicated state refers to nothing that is missing.
   std::function<Result<void>(const ResourceMap &)> CheckClosure;
@@ -48,9 +55,13 @@
 class SyncClient {
 public:
   /// \param Self The node itself; it is announced until \a leave.
+  /// \param Witnesses Asked for data while neither a member list nor a
+  ///        control replica is at hand.
+  /// Fails with InvalidArgument without a control replica or a Send hook.
   static Result<std::unique_ptr<SyncClient>>
   create(DistributedState &State, const Member &Self,
          const std::vector<Endpoint> &ControlReplicas,
+         const std::vector<ParentCandidate> &Witnesses,
          SyncClientOptions Options, SyncClientHooks Hooks);
 
   /// Sends the first request.
@@ -66,11 +77,12 @@
   std::optional<Instant> nextDeadline() const;
 
   /// Changes what the node announces; sent at once.
-  void announce(const Member &Self, Instant Now);
+  void announce(const Member &NewSelf, Instant Now);
   /// Ends the session; sent at once and with every later request.
   void leave(Instant Now);
-  /// Cumulative counters to report; none stops the reports.
-  void observe(std::optional<Json> Counters, Instant Now);
+  /// Cumulative counters to report with the next request; none stops the
+  /// reports.
+  void observe(std::optional<Json> NewCounters);
   /// Passes on what children reported.
   void addUplink(const UplinkBatch &Batch, Urgency How, Instant Now);
   /// Asks for a confirmed revision until one arrives (safe start).
@@ -90,19 +102,22 @@
 
 private:
   SyncClient(DistributedState &State, const Member &Self,
-             const std::vector<Endpoint> &ControlReplicas,
-             SyncClientOptions Options, SyncClientHooks Hooks);
+             ParentSelector Selector, SyncClientOptions Options,
+             SyncClientHooks Hooks);
   void send(Instant Now);
-  SyncRequest buildRequest(Instant Now);
+  SyncRequest buildRequest(const ParentSelector::Choice &To, Instant Now);
   void addOwnReports(UplinkBatch &Batch, Instant Now);
-  void moveOn(Instant Now);
-  void scheduleSend(Instant When);
-  void interrupt(Instant When);
+  void finishRequest();
+  void retryNext(Instant Now);
+  void reclaimUplink();
+  void interrupt(Instant When, Instant Now);
+  void digest(const SyncResponse &Response);
   bool digestReplicated(const SyncResponse &Response);
   bool digestMembers(const SyncResponse &Response);
-  Result<void> putInForce(const SyncResponse &Response);
+  Result<void> checkStaged(const ClusterId &Cluster) const;
   void refuse(Revision Refused, const std::string &Reason);
-  void noteSource(const SyncResponse &Response, Instant Now);
+  void judgeParent(const SyncResponse &Response, Instant Now);
+  bool confirmationDue(Instant Now) const;
   void refreshParents();
 
   DistributedState &State;
@@ -111,26 +126,29 @@
   SyncClientOptions Options;
   SyncClientHooks Hooks;
   ParentSelector Selector;
+  MemberView View;
   TableStaging ReplicatedStaging;
   TableStaging MemberStaging;
   UplinkBatch Pending;
-  UplinkBatch InFlightUplink;
+  /// Reports of children by the request that carried them, until answered.
+  std::map<std::uint64_t, UplinkBatch> Unaccepted;
   Endpoint Target;
   std::uint64_t Sequence = 0;
   std::uint64_t AnnounceSequence = 0;
+  std::uint32_t Redirects = 0;
   bool InFlight = false;
+  bool AskedConfirmation = false;
   bool Gone = false;
   bool WantsConfirmation = false;
-  bool ParentsStale = true;
   std::optional<Instant> SendAt;
   std::optional<Instant> SilenceAt;
   std::optional<Instant> AnnouncedAt;
   std::optional<Instant> SourceHeard;
+  std::optional<Instant> ConfirmationAskedAt;
   Instant LastSent;
   Duration ParentHold = std::chrono::seconds(1);
   std::optional<Json> Counters;
-  bool CountersChanged = false;
-  Instant CountersSent;
+  std::optional<Instant> CountersSentAt;
   std::uint64_t CountersEpoch = 0;
   std::optional<RefusedRevision> Refusal;
 };
--- /dev/null
+++ b/src/libdistribution/syncmessages.cpp
@@ -0,0 +1,162 @@
+#include "libdistribution/syncmessages.h"
+
+#include "libdistribution/jsonfields.h"
+
+namespace amaranthward {
+
+namespace {
+
+std::uint64_t milliseconds(Duration Time) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Time).count());
+}
+
+/// A day; also keeps a peer's number from overflowing the type.
+constexpr std::uint64_t MaxMilliseconds = 86'400'000;
+
+Duration fromMilliseconds(std::uint64_t Count) {
+  return std::chrono::milliseconds(std::min(Count, MaxMilliseconds));
+}
+
+TableVersion versionField(JsonFields &Fields, const char *Key) {
+  const Json *Found = Fields.find(Key);
+  return Found ? Fields.take(tableVersionFromJson(*Found)) : TableVersion();
+}
+
+std::optional<TableCursor> cursorField(JsonFields &Fields, const char *Key) {
+  const Json *Found = Fields.find(Key);
+  if (!Found)
+    return std::nullopt;
+  return Fields.take(tableCursorFromJson(*Found));
+}
+
+std::optional<TableChunk> chunkField(JsonFields &Fields, const char *Key) {
+  const Json *Found = Fields.find(Key);
+  if (!Found)
+    return std::nullopt;
+  return Fields.take(tableChunkFromJson(*Found));
+}
+
+std::vector<ParentCandidate> candidatesFrom(JsonFields &Fields,
+                                            const Json &List) {
+  std::vector<ParentCandidate> All;
+  for (const Json &Entry : List) {
+    if (!Entry.is_array() || Entry.size() != 2 || !Entry[0].is_string() ||
+        !Entry[1].is_string()) {
+      Fields.fault("malformed parent");
+      continue;
+    }
+    All.push_back({NodeName(Entry[0].get<std::string>()),
+                   Endpoint(Entry[1].get<std::string>())});
+  }
+  return All;
+}
+
+} // namespace
+
+Json toJson(const SyncRequest &Request) {
+  Json Value = {{"n", Request.Node.str()},
+                {"i", Request.Start.value()},
+                {"z", Request.Zone.str()},
+                {"q", Request.Sequence}};
+  if (!Request.Cluster.empty()) {
+    Value["c"] = Request.Cluster.str();
+    Value["r"] = Request.InForce.value();
+  }
+  if (Request.Members != TableVersion())
+    Value["m"] = toJson(Request.Members);
+  if (Request.Refused)
+    Value["x"] = Request.Refused->value();
+  if (Request.ReplicatedCursor)
+    Value["rc"] = toJson(*Request.ReplicatedCursor);
+  if (Request.MemberCursor)
+    Value["mc"] = toJson(*Request.MemberCursor);
+  if (!Request.Uplink.empty())
+    Value["u"] = toJson(Request.Uplink);
+  if (Request.WantsParents)
+    Value["wp"] = true;
+  if (Request.Fallback)
+    Value["fb"] = true;
+  if (Request.WantsConfirmation)
+    Value["wc"] = true;
+  return Value;
+}
+
+Result<SyncRequest> syncRequestFromJson(const Json &Value, Instant Now) {
+  JsonFields Fields(Value, "sync request");
+  SyncRequest Request;
+  Request.Node = NodeName(Fields.text("n"));
+  Request.Start = Incarnation(Fields.number("i"));
+  Request.Zone = ZoneName(Fields.text("z"));
+  Request.Sequence = Fields.number("q");
+  Request.Cluster = ClusterId(Fields.textOr("c", ""));
+  Request.InForce = Revision(Fields.numberOr("r", 0));
+  Request.Members = versionField(Fields, "m");
+  if (Fields.find("x"))
+    Request.Refused = Revision(Fields.number("x"));
+  Request.ReplicatedCursor = cursorField(Fields, "rc");
+  Request.MemberCursor = cursorField(Fields, "mc");
+  if (const Json *Uplink = Fields.find("u"))
+    Request.Uplink = Fields.take(uplinkBatchFromJson(*Uplink, Now));
+  Request.WantsParents = Fields.flag("wp");
+  Request.Fallback = Fields.flag("fb");
+  Request.WantsConfirmation = Fields.flag("wc");
+  if (Request.Node.empty())
+    Fields.fault("field n is empty");
+  if (Fields.failure())
+    return tl::make_unexpected(*Fields.failure());
+  return Request;
+}
+
+Json toJson(const SyncResponse &Response) {
+  Json Value = {{"q", Response.Sequence}};
+  if (Response.RetryAfter) {
+    Value["ra"] = milliseconds(*Response.RetryAfter);
+    return Value;
+  }
+  if (!Response.Cluster.empty()) {
+    Value["c"] = Response.Cluster.str();
+    Value["r"] = Response.InForce.value();
+  }
+  Value["m"] = toJson(Response.Members);
+  Value["h"] = milliseconds(Response.Hold);
+  if (Response.SourceAge != Duration::zero())
+    Value["sa"] = milliseconds(Response.SourceAge);
+  if (Response.ReplicatedChunk)
+    Value["rc"] = toJson(*Response.ReplicatedChunk);
+  if (Response.MemberChunk)
+    Value["mc"] = toJson(*Response.MemberChunk);
+  if (Response.Confirmed)
+    Value["cf"] = Response.Confirmed->value();
+  if (Response.Parents) {
+    Json Parents = Json::array();
+    for (const ParentCandidate &One : *Response.Parents)
+      Parents.push_back(Json::array({One.Node.str(), One.Address.str()}));
+    Value["p"] = std::move(Parents);
+  }
+  return Value;
+}
+
+Result<SyncResponse> syncResponseFromJson(const Json &Value) {
+  JsonFields Fields(Value, "sync response");
+  SyncResponse Response;
+  Response.Sequence = Fields.number("q");
+  if (Fields.find("ra"))
+    Response.RetryAfter = fromMilliseconds(Fields.number("ra"));
+  Response.Cluster = ClusterId(Fields.textOr("c", ""));
+  Response.InForce = Revision(Fields.numberOr("r", 0));
+  Response.Members = versionField(Fields, "m");
+  Response.Hold = fromMilliseconds(Fields.numberOr("h", 1000));
+  Response.SourceAge = fromMilliseconds(Fields.numberOr("sa", 0));
+  Response.ReplicatedChunk = chunkField(Fields, "rc");
+  Response.MemberChunk = chunkField(Fields, "mc");
+  if (Fields.find("cf"))
+    Response.Confirmed = Revision(Fields.number("cf"));
+  if (const Json *Parents = Fields.array("p"))
+    Response.Parents = candidatesFrom(Fields, *Parents);
+  if (Fields.failure())
+    return tl::make_unexpected(*Fields.failure());
+  return Response;
+}
+
+} // namespace amaranthward
--- a/src/libdistribution/syncmessages.h
+++ b/src/libdistribution/syncmessages.h
@@ -28,6 +28,8 @@
   ClusterId Cluster;
   Revision InForce;
   TableVersion Members;
+  /// A revision that failed the child's checks and is not wanted again.
+  std::optional<Revision> Refused;
   /// Where transfers that need several chunks continue.
   std::optional<TableCursor> ReplicatedCursor;
   std::optional<TableCursor> MemberCursor;
--- a/src/libdistribution/syncserver.h
+++ b/src/libdistribution/syncserver.h
@@ -13,7 +13,7 @@
 struct SyncServerOptions {
   Duration Hold = std::chrono::seconds(1);
   std::size_t MaxChunkBytes = 64 * 1024;
-  /// Member changes are collected for this time before they wake children.
+  /// Shortest time between two wake-ups for member changes.
   Duration MemberLinger = std::chrono::milliseconds(100);
   /// A child that has been silent for this time counts as new.
   Duration ChildMemory = std::chrono::seconds(10);
@@ -27,7 +27,7 @@
   /// round that began at or after the given time. Unset on relays.
   std::function<std::optional<Revision>(Instant)> ConfirmedSince;
   /// Leader only: the parents that a child should use; empty when it should
-  /// stay. Unset on relays.
+  /// stay (MemberView::parentsFor). Unset on relays.
   std::function<std::vector<ParentCandidate>(const SyncRequest &)> ParentsFor;
   /// A child brought something to pass on. At the leader, consume it with
   /// \a takeUplink; on a relay, give it to SyncClient::addUplink.
@@ -80,11 +80,15 @@
   Urgency collect(const SyncRequest &Request);
   bool admit(const SyncRequest &Request, Instant Now,
              const Complete &OnComplete);
-  bool hasNews(const ParkedRequest &One, bool WithMembers) const;
   std::optional<Revision> confirmation(const ParkedRequest &One) const;
-  SyncResponse answer(const ParkedRequest &One, Instant Now) const;
+  std::vector<ParentCandidate> parentsFor(const SyncRequest &Request) const;
+  bool hasReplicatedNews(const SyncRequest &Request) const;
+  bool hasAnswer(const ParkedRequest &One, Instant Now) const;
+  SyncResponse statusFor(const SyncRequest &Request, Instant Now) const;
+  void complete(const ParkedRequest &One, Instant Now) const;
   void addChunks(const SyncRequest &Request, SyncResponse &Response) const;
-  void answerWaiting(Instant Now, bool WithMembers);
+  void answerWaiting(Instant Now);
+  void releaseMembers(Instant Now);
   void forgetChildren(Instant Now);
 
   const DistributedState &State;
@@ -95,7 +99,9 @@
   std::unordered_map<NodeName, Instant> LastSeen;
   std::unordered_map<SessionId, Revision> LastAcknowledged;
   UplinkBatch Collected;
+  /// Members up to this version are news for children.
   TableVersion WokenMembers;
+  Instant LastMemberWake;
   std::optional<Instant> LingerEnds;
   Instant NextCleanup;
 };
--- a/src/libdistribution/tablechunk.h
+++ b/src/libdistribution/tablechunk.h
@@ -45,8 +45,12 @@
 struct TableCursor {
   TableVersion Version;
   std::string Key;
-  /// Version of the sender when it began a snapshot; zero for a delta.
+  /// Version that the receiver had (delta) or that the sender had at the
+  /// first chunk (snapshot).
   TableVersion Start;
+  /// Version that the sender had at the latest chunk. A sender below it
+  /// cannot continue, because keys that changed in between would be lost.
+  TableVersion Seen;
   bool Snapshot = false;
 
   friend bool operator==(const TableCursor &, const TableCursor &) = default;
@@ -65,6 +69,8 @@
   std::optional<TableCursor> Next;
   /// Version of the sender's table.
   TableVersion Current;
+  /// Encoded size within a few bytes; not sent.
+  std::size_t Bytes = 0;
 };
 
 Json toJson(const TableVersion &Version);
--- a/src/libdistribution/uplinkbatch.h
+++ b/src/libdistribution/uplinkbatch.h
@@ -45,7 +45,7 @@
 enum class Urgency { None, Later, Soon, Immediate };
 
 /// What a subtree has to say to the leader, without duplicates. Merging is
-/// idempotent and independent of order.
+/// idempotent; of two incarnations of one node the later arrival holds.
 class UplinkBatch {
 public:
   /// Renews \a Session and states the revision that its node has in force.
