Wire the control replica and the node's distribution

The first end-to-end build found two pairs of equal names in one namespace: splitFromJson (libconfig, libpolicy) and JsonFields (libconfig, libdistribution). One of each is renamed.

--- a/src/amaranthward/nodedistribution.cpp
+++ b/src/amaranthward/nodedistribution.cpp
@@ -24,6 +24,13 @@
   return Names;
 }
 
+std::vector<ParentCandidate> witnessParents(const NodeSettings &Settings) {
+  std::vector<ParentCandidate> Parents;
+  for (const Endpoint &Address : Settings.Witnesses)
+    Parents.push_back({NodeName(Address.str()), Address});
+  return Parents;
+}
+
 } // namespace
 
 NodeDistribution::NodeDistribution(EventLoop &Loop, HttpClient &Http,
@@ -74,7 +81,8 @@
   this->Transport = std::move(*TransportMade);
   auto ClientMade =
       SyncClient::create(this->State, memberOf(this->Settings, this->Start),
-                         this->Settings.Control, {}, this->clientHooks());
+                         this->Settings.Control, witnessParents(this->Settings),
+                         {}, this->clientHooks());
   if (!ClientMade)
     return tl::make_unexpected(ClientMade.error());
   this->Client = std::move(*ClientMade);
@@ -231,7 +239,7 @@
 void NodeDistribution::leave() { this->Client->leave(this->Loop.now()); }
 
 void NodeDistribution::observe(std::optional<Json> Counters) {
-  this->Client->observe(std::move(Counters), this->Loop.now());
+  this->Client->observe(std::move(Counters));
 }
 
 std::vector<Member> NodeDistribution::members() const {
--- a/src/amaranthward/synctransport.h
+++ b/src/amaranthward/synctransport.h
@@ -6,7 +6,7 @@
 
 namespace amaranthward {
 
-/// Carries the sync protocol of a node over HTTP, one request at a time.
+/// Carries the sync protocol of a node over HTTP.
 class SyncTransport {
 public:
   struct Hooks {
@@ -20,25 +20,24 @@
   static Result<std::unique_ptr<SyncTransport>>
   create(HttpClient &Client, Metrics &Registry, Hooks NewHooks);
 
-  /// Replaces a request under way, which is cancelled.
   void send(const Endpoint &To, const SyncRequest &Request);
 
   /// Largest response; chunks are smaller by far.
   static constexpr std::size_t MaxResponseBytes = 1024 * 1024;
+  /// Well above the hold time, so that the sync client notices silence first.
+  static constexpr Duration Timeout = std::chrono::seconds(5);
 
 private:
   SyncTransport(HttpClient &Client, Metrics &Registry, Hooks NewHooks)
       : Client(Client), BytesIn(Registry.counter("control_bytes_in_total")),
         BytesOut(Registry.counter("control_bytes_out_total")),
         Callbacks(std::move(NewHooks)) {}
-  void onEnd(std::uint64_t Sequence);
+  void onDone(std::uint64_t Sequence, const HttpResponse &Done);
 
   HttpClient &Client;
   std::uint64_t &BytesIn;
   std::uint64_t &BytesOut;
   Hooks Callbacks;
-  std::shared_ptr<ClientExchange> UnderWay;
-  HttpResponse Received;
 };
 
 } // namespace amaranthward
--- a/src/libconfig/configurationcodec.cpp
+++ b/src/libconfig/configurationcodec.cpp
@@ -40,7 +40,7 @@
   if (!Service)
     return Service;
   JsonFields Fields(Value);
-  auto Split = splitFromJson(Fields.object("split"));
+  auto Split = sharesFromJson(Fields.object("split"));
   if (!Fields.good())
     return Fields.failure();
   if (!Split)
--- a/src/libconfig/routingview.cpp
+++ b/src/libconfig/routingview.cpp
@@ -108,7 +108,7 @@
 Result<void> RoutingView::Content::readSplit(const ServiceName &Name,
                                              const Json &Value) {
   JsonFields Fields(Value);
-  auto Shares = splitFromJson(Fields.object("shares"));
+  auto Shares = sharesFromJson(Fields.object("shares"));
   if (!Fields.good())
     return Fields.failure();
   return store(this->Splits, Name, std::move(Shares));
--- a/src/libconfig/speccodec.cpp
+++ b/src/libconfig/speccodec.cpp
@@ -114,7 +114,7 @@
   return Value;
 }
 
-Result<std::map<VersionName, Share>> splitFromJson(const Json &Value) {
+Result<std::map<VersionName, Share>> sharesFromJson(const Json &Value) {
   JsonFields Fields(Value);
   std::map<VersionName, Share> Split;
   if (Value.is_object()) {
--- a/src/libconfig/speccodec.h
+++ b/src/libconfig/speccodec.h
@@ -24,7 +24,7 @@
 
 /// {"v1": 10000}.
 Json toJson(const std::map<VersionName, Share> &Split);
-Result<std::map<VersionName, Share>> splitFromJson(const Json &Value);
+Result<std::map<VersionName, Share>> sharesFromJson(const Json &Value);
 
 Json toJson(const MoveSpec &Move);
 Result<MoveSpec> moveFromJson(const Json &Value);
--- a/src/libcontrol/applyconfiguration.cpp
+++ b/src/libcontrol/applyconfiguration.cpp
@@ -86,7 +86,6 @@
   ServiceState &State = Entry->second;
   if (IsNew) {
     State.InForce = Wanted;
-    State.Settled = Wanted;
     return;
   }
   const Split &Target =
@@ -104,11 +103,10 @@
   Wanted.To = withoutZeroShares(Spec.Split);
   Wanted.Deadline = deadlineOf(Spec, this->SubmittedAt);
   Wanted.Probation = probationOf(Spec);
-  std::optional<MoveState> Open;
-  if (State.hasOpenMove())
-    Open = State.Move->State;
-  auto Start = MovePacer::begin(this->SubmittedAt, Wanted, State.InForce,
-                                State.Settled, Open);
+  std::optional<MoveState> Last;
+  if (State.Move)
+    Last = State.Move->State;
+  auto Start = MovePacer::begin(this->SubmittedAt, Wanted, State.InForce, Last);
   if (!Start)
     return;
   if (Start->Superseded)
--- a/src/libcontrol/controldata.cpp
+++ b/src/libcontrol/controldata.cpp
@@ -19,7 +19,8 @@
     }
   };
   AddMissing(State.InForce);
-  AddMissing(State.Settled);
+  if (State.Move)
+    AddMissing(State.Move->State.Fallback);
 }
 
 Json moveResource(const MoveRecord &Record) {
--- a/src/libcontrol/controldata.h
+++ b/src/libcontrol/controldata.h
@@ -36,8 +36,6 @@
 /// Traffic of one service.
 struct ServiceState {
   Split InForce;
-  /// Split before the first unfinished move; a rollback leads there.
-  Split Settled;
   /// The open move, or a finished one whose candidate is still watched.
   std::optional<MoveRecord> Move;
 
--- a/src/libcontrol/controldatacodec.cpp
+++ b/src/libcontrol/controldatacodec.cpp
@@ -27,8 +27,7 @@
 }
 
 Json encode(const ServiceState &State) {
-  Json Value = {{"in_force", splitToJson(State.InForce)},
-                {"settled", splitToJson(State.Settled)}};
+  Json Value = {{"in_force", splitToJson(State.InForce)}};
   if (State.Move) {
     Value["move"] = MoveState::toJson(State.Move->State);
     Value["steps"] = State.Move->Steps;
@@ -42,11 +41,7 @@
   auto InForce = splitFromJson(Value.value("in_force", Json()));
   if (!InForce)
     return tl::make_unexpected(InForce.error());
-  auto Settled = splitFromJson(Value.value("settled", Json()));
-  if (!Settled)
-    return tl::make_unexpected(Settled.error());
   State.InForce = *InForce;
-  State.Settled = *Settled;
   if (Value.contains("move")) {
     auto Move = MoveState::fromJson(Value["move"]);
     if (!Move)
--- a/src/libcontrol/recordmove.cpp
+++ b/src/libcontrol/recordmove.cpp
@@ -53,8 +53,6 @@
   bool RevertsNow = this->Next.Reverted && !State->Move->State.Reverted;
   State->Move = MoveRecord{this->Next, this->BasedOn + 1, AtRevision};
   State->InForce = withoutZeroShares(this->Next.InForce);
-  if (this->Next.ended())
-    State->Settled = State->InForce;
   if (this->MarkBad) {
     ServiceVersion Key(this->Next.Service, this->Next.Candidate);
     Data.BadMarks[Key] = {describeFault(this->Next), this->At};
