Stop asking for a confirmed revision after one response

Nodes asked the leader every 2 s for ever: with 90 nodes, 90 children stayed at the leader and a change took 77 ms in virtual time.

--- a/src/libdistribution/syncclient.cpp
+++ b/src/libdistribution/syncclient.cpp
@@ -125,8 +125,11 @@
   this->ParentHold = Response.Hold;
   const bool WasAsked = this->AskedConfirmation;
   const bool Empty = !Response.ReplicatedChunk && !Response.MemberChunk;
-  if (Response.Confirmed && this->Hooks.OnConfirmed)
-    this->Hooks.OnConfirmed(Response.Cluster, *Response.Confirmed);
+  if (Response.Confirmed) {
+    this->WantsConfirmation = false;
+    if (this->Hooks.OnConfirmed)
+      this->Hooks.OnConfirmed(Response.Cluster, *Response.Confirmed);
+  }
   if (Response.Parents && !Response.Parents->empty())
     this->Selector.setCandidates(*Response.Parents, {});
   else if (!WasAsked)
--- a/src/libdistribution/syncclient.h
+++ b/src/libdistribution/syncclient.h
@@ -85,7 +85,8 @@
   void observe(std::optional<Json> NewCounters);
   /// Passes on what children reported.
   void addUplink(const UplinkBatch &Batch, Urgency How, Instant Now);
-  /// Asks for a confirmed revision until one arrives (safe start).
+  /// Asks for a confirmed revision until one arrives (safe start). One
+  /// response ends it.
   void requestConfirmation(bool Wanted) { this->WantsConfirmation = Wanted; }
 
   /// Time since this node's chain of parents last heard from the leader.
