--- a/src/libdistribution/jsonfields.cpp
+++ b/src/libdistribution/messagefields.cpp
@@ -1,21 +1,21 @@
-#include "libdistribution/jsonfields.h"
+#include "libdistribution/messagefields.h"
 
 namespace amaranthward {
 
-JsonFields::JsonFields(const Json &Object, const char *What)
+MessageFields::MessageFields(const Json &Object, const char *What)
     : Object(Object), What(What) {
   if (!Object.is_object())
     this->fault("is not a JSON object");
 }
 
-const Json *JsonFields::find(const char *Key) const {
+const Json *MessageFields::find(const char *Key) const {
   if (!this->Object.is_object())
     return nullptr;
   auto Found = this->Object.find(Key);
   return Found == this->Object.end() ? nullptr : &*Found;
 }
 
-std::uint64_t JsonFields::number(const char *Key) {
+std::uint64_t MessageFields::number(const char *Key) {
   const Json *Value = this->find(Key);
   if (Value && Value->is_number_unsigned())
     return Value->get<std::uint64_t>();
@@ -23,11 +23,11 @@
   return 0;
 }
 
-std::uint64_t JsonFields::numberOr(const char *Key, std::uint64_t Default) {
+std::uint64_t MessageFields::numberOr(const char *Key, std::uint64_t Default) {
   return this->find(Key) ? this->number(Key) : Default;
 }
 
-std::string JsonFields::text(const char *Key) {
+std::string MessageFields::text(const char *Key) {
   const Json *Value = this->find(Key);
   if (Value && Value->is_string())
     return Value->get<std::string>();
@@ -35,11 +35,11 @@
   return {};
 }
 
-std::string JsonFields::textOr(const char *Key, const char *Default) {
+std::string MessageFields::textOr(const char *Key, const char *Default) {
   return this->find(Key) ? this->text(Key) : std::string(Default);
 }
 
-bool JsonFields::flag(const char *Key) {
+bool MessageFields::flag(const char *Key) {
   const Json *Value = this->find(Key);
   if (!Value)
     return false;
@@ -51,7 +51,7 @@
   return false;
 }
 
-const Json *JsonFields::array(const char *Key) {
+const Json *MessageFields::array(const char *Key) {
   const Json *Value = this->find(Key);
   if (Value && !Value->is_array()) {
     this->fault(std::string("field ") + Key + " is not an array");
@@ -60,7 +60,7 @@
   return Value;
 }
 
-void JsonFields::fault(const std::string &Message) {
+void MessageFields::fault(const std::string &Message) {
   if (!this->Failure)
     this->Failure = Error{ErrorCode::InvalidArgument,
                           std::string(this->What) + ": " + Message};
--- a/src/libdistribution/jsonfields.h
+++ b/src/libdistribution/messagefields.h
@@ -1,5 +1,5 @@
-#ifndef AMARANTHWARD_LIBDISTRIBUTION_JSONFIELDS_H
-#define AMARANTHWARD_LIBDISTRIBUTION_JSONFIELDS_H
+#ifndef AMARANTHWARD_LIBDISTRIBUTION_MESSAGEFIELDS_H
+#define AMARANTHWARD_LIBDISTRIBUTION_MESSAGEFIELDS_H
 
 #include "libcore/json.h"
 #include <optional>
@@ -9,9 +9,9 @@
 
 /// Reads the fields of one JSON object and remembers the first fault, so that
 /// a decoder checks once at its end. Unknown fields are ignored.
-class JsonFields {
+class MessageFields {
 public:
-  JsonFields(const Json &Object, const char *What);
+  MessageFields(const Json &Object, const char *What);
 
   std::uint64_t number(const char *Key);
   std::uint64_t numberOr(const char *Key, std::uint64_t Default);
