--- a/src/libdistribution/membercodec.cpp
+++ b/src/libdistribution/membercodec.cpp
@@ -1,6 +1,6 @@
 #include "libdistribution/membercodec.h"
 
-#include "libdistribution/jsonfields.h"
+#include "libdistribution/messagefields.h"
 
 namespace amaranthward {
 
@@ -32,7 +32,7 @@
 }
 
 Result<Member> memberFromJson(const NodeName &Node, const Json &Value) {
-  JsonFields Fields(Value, "member");
+  MessageFields Fields(Value, "member");
   Member Subject;
   Subject.Node = Node;
   Subject.Start = Incarnation(Fields.number("i"));
@@ -77,7 +77,7 @@
   std::vector<DepartedMember> All;
   for (auto It = Resources.lower_bound(DepartedPrefix);
        It != Resources.end() && It->first.starts_with(DepartedPrefix); ++It) {
-    JsonFields Fields(It->second, "departed member");
+    MessageFields Fields(It->second, "departed member");
     DepartedMember One;
     One.Node = NodeName(Fields.text("n"));
     One.Start = Incarnation(Fields.number("i"));
--- a/src/libdistribution/syncmessages.cpp
+++ b/src/libdistribution/syncmessages.cpp
@@ -1,6 +1,6 @@
 #include "libdistribution/syncmessages.h"
 
-#include "libdistribution/jsonfields.h"
+#include "libdistribution/messagefields.h"
 
 namespace amaranthward {
 
@@ -18,26 +18,26 @@
   return std::chrono::milliseconds(std::min(Count, MaxMilliseconds));
 }
 
-TableVersion versionField(JsonFields &Fields, const char *Key) {
+TableVersion versionField(MessageFields &Fields, const char *Key) {
   const Json *Found = Fields.find(Key);
   return Found ? Fields.take(tableVersionFromJson(*Found)) : TableVersion();
 }
 
-std::optional<TableCursor> cursorField(JsonFields &Fields, const char *Key) {
+std::optional<TableCursor> cursorField(MessageFields &Fields, const char *Key) {
   const Json *Found = Fields.find(Key);
   if (!Found)
     return std::nullopt;
   return Fields.take(tableCursorFromJson(*Found));
 }
 
-std::optional<TableChunk> chunkField(JsonFields &Fields, const char *Key) {
+std::optional<TableChunk> chunkField(MessageFields &Fields, const char *Key) {
   const Json *Found = Fields.find(Key);
   if (!Found)
     return std::nullopt;
   return Fields.take(tableChunkFromJson(*Found));
 }
 
-std::vector<ParentCandidate> candidatesFrom(JsonFields &Fields,
+std::vector<ParentCandidate> candidatesFrom(MessageFields &Fields,
                                             const Json &List) {
   std::vector<ParentCandidate> All;
   for (const Json &Entry : List) {
@@ -83,7 +83,7 @@
 }
 
 Result<SyncRequest> syncRequestFromJson(const Json &Value, Instant Now) {
-  JsonFields Fields(Value, "sync request");
+  MessageFields Fields(Value, "sync request");
   SyncRequest Request;
   Request.Node = NodeName(Fields.text("n"));
   Request.Start = Incarnation(Fields.number("i"));
@@ -138,7 +138,7 @@
 }
 
 Result<SyncResponse> syncResponseFromJson(const Json &Value) {
-  JsonFields Fields(Value, "sync response");
+  MessageFields Fields(Value, "sync response");
   SyncResponse Response;
   Response.Sequence = Fields.number("q");
   if (Fields.find("ra"))
--- a/src/libdistribution/tablechunk.cpp
+++ b/src/libdistribution/tablechunk.cpp
@@ -1,6 +1,6 @@
 #include "libdistribution/tablechunk.h"
 
-#include "libdistribution/jsonfields.h"
+#include "libdistribution/messagefields.h"
 
 namespace amaranthward {
 
@@ -60,7 +60,7 @@
 }
 
 Result<TableCursor> tableCursorFromJson(const Json &Value) {
-  JsonFields Fields(Value, "table cursor");
+  MessageFields Fields(Value, "table cursor");
   TableCursor Cursor;
   auto Version = [&Fields](const char *Key) {
     const Json *Found = Fields.find(Key);
@@ -95,7 +95,7 @@
 }
 
 Result<TableChunk> tableChunkFromJson(const Json &Value) {
-  JsonFields Fields(Value, "table chunk");
+  MessageFields Fields(Value, "table chunk");
   TableChunk Chunk;
   const Json *Current = Fields.find("v");
   Chunk.Current =
--- a/src/libdistribution/uplinkbatch.cpp
+++ b/src/libdistribution/uplinkbatch.cpp
@@ -1,6 +1,6 @@
 #include "libdistribution/uplinkbatch.h"
 
-#include "libdistribution/jsonfields.h"
+#include "libdistribution/messagefields.h"
 #include "libdistribution/membercodec.h"
 #include <algorithm>
 
@@ -28,7 +28,7 @@
 }
 
 Result<void> readAnnouncement(const Json &Value, UplinkBatch &Batch) {
-  JsonFields Fields(Value, "announcement");
+  MessageFields Fields(Value, "announcement");
   Announcement One;
   One.Session = SessionId(Fields.number("s"));
   One.Sequence = Fields.number("q");
@@ -43,7 +43,7 @@
 }
 
 Result<void> readObservation(const Json &Value, UplinkBatch &Batch) {
-  JsonFields Fields(Value, "observation");
+  MessageFields Fields(Value, "observation");
   ReporterCounters One;
   One.Reporter = NodeName(Fields.text("n"));
   One.Start = Incarnation(Fields.number("i"));
@@ -56,7 +56,7 @@
 }
 
 Result<void> readRefusal(const Json &Value, UplinkBatch &Batch) {
-  JsonFields Fields(Value, "refusal");
+  MessageFields Fields(Value, "refusal");
   RefusedRevision One;
   One.Node = NodeName(Fields.text("n"));
   One.Refused = Revision(Fields.number("r"));
@@ -147,7 +147,7 @@
 }
 
 Result<UplinkBatch> uplinkBatchFromJson(const Json &Value, Instant Now) {
-  JsonFields Fields(Value, "uplink");
+  MessageFields Fields(Value, "uplink");
   UplinkBatch Batch;
   auto ReadAll = [&Fields, &Batch](const char *Key, auto Read) {
     const Json *Entries = Fields.array(Key);
