libcore: apply the log format to all loggers

spdlog resets the formatter of a sink when a logger is registered, so the format set on the shared sink was lost; it is set on the registry now.

--- a/src/libcore/log.cpp
+++ b/src/libcore/log.cpp
@@ -42,9 +42,9 @@
 void configureLogging(const LogOptions &Options) {
   spdlog::set_level(spdlog::level::from_str(Options.Level));
   if (Options.JsonLines)
-    sharedSink()->set_formatter(std::make_unique<JsonFormatter>());
+    spdlog::set_formatter(std::make_unique<JsonFormatter>());
   else
-    sharedSink()->set_pattern("%Y-%m-%dT%H:%M:%S.%e %L [%n] %v");
+    spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %L [%n] %v");
 }
 
 std::shared_ptr<spdlog::logger> logFor(const std::string &Part) {
