--- /dev/null
+++ b/bench/policy/admissioncases.cpp
@@ -0,0 +1,7 @@
+#include "cases.h"
+
+namespace amaranthward {
+
+void runAdmissionCases(Report &) {}
+
+} // namespace amaranthward
--- a/src/libpolicy/localreflex.cpp
+++ b/src/libpolicy/localreflex.cpp
@@ -1,5 +1,8 @@
 #include "libpolicy/localreflex.h"
 
+#include "libpolicy/movestate.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace amaranthward {
@@ -20,23 +23,26 @@
     return;
   this->Followed = Decided;
   this->Leaders = Leaders;
-  if (!this->Reduced)
+  if (this->Limit == Share::all())
     return;
-  this->Reduced = false;
+  this->Limit = Share::all();
   this->Analysis.restart();
 }
 
 bool LocalReflex::step(Instant Now,
                        const std::map<RouteName, RouteTotals> &Own) {
-  bool IsBad = this->Analysis.step(Now, Own).Kind == Judgement::Bad;
-  if (!IsBad || this->Reduced)
-    return false;
-  this->Reduced = true;
-  return true;
+  Judgement Kind = this->Analysis.step(Now, Own).Kind;
+  Share Before = this->share();
+  if (Kind == Judgement::Bad)
+    this->Limit = Share::none();
+  else if (Kind == Judgement::Suspect && this->Limit == Share::all() &&
+           Before > LargestDoubtfulShare)
+    this->Limit = Share(Before.parts() / 2);
+  return this->share() < Before;
 }
 
 Share LocalReflex::share() const {
-  return this->Reduced ? Share::none() : this->Leaders;
+  return std::min(this->Limit, this->Leaders);
 }
 
 } // namespace amaranthward
--- a/src/libpolicy/localreflex.h
+++ b/src/libpolicy/localreflex.h
@@ -9,7 +9,8 @@
 
 /// A node's own reduction of an unproven version's share. It only ever lowers
 /// the share that the leader decided, on what this node has seen itself, and
-/// ends when a newer decision of the leader arrives.
+/// ends when a newer decision of the leader arrives. A version that is bad gets
+/// no share; one that is suspect at a large share gets half of it.
 class LocalReflex {
 public:
   static Result<LocalReflex> create(const std::vector<RouteName> &Routes,
@@ -25,7 +26,7 @@
 
   /// Share to use; never more than the leader's.
   Share share() const;
-  bool reduced() const { return this->Reduced; }
+  bool reduced() const { return this->share() < this->Leaders; }
   const AnalysisVerdict &verdict() const { return this->Analysis.verdict(); }
 
 private:
@@ -34,7 +35,8 @@
   VersionAnalysis Analysis;
   Revision Followed;
   Share Leaders;
-  bool Reduced = false;
+  /// The most that this node gives the version.
+  Share Limit = Share::all();
 };
 
 } // namespace amaranthward
--- a/src/libpolicy/movepacer.cpp
+++ b/src/libpolicy/movepacer.cpp
@@ -13,10 +13,16 @@
 /// Gain at which the plan begins while the rate of calls is unknown, in parts
 /// per 10,000.
 constexpr double PlanBegin = 10;
-/// Time for which the first step waits for the rate of calls to be known.
+/// The first step waits for the first reports, which give the rate of calls,
+/// and goes without them after the longer time.
+constexpr Duration FirstWait = std::chrono::seconds(1);
 constexpr Duration RateWait = std::chrono::seconds(3);
 /// Largest factor of one step when the time left demands more than StepFactor.
 constexpr double UrgentFactor = 8;
+/// Part of the early share that is used, and the seconds of calls for which it
+/// must suffice, because a verdict takes time to reach every node.
+constexpr double EarlyPart = 0.9;
+constexpr double EarlyHorizon = 3;
 /// Smallest relative growth worth a record in the log.
 constexpr double SmallestGrowth = 1.25;
 
@@ -81,30 +87,31 @@
   });
 }
 
-MoveDecision decideDone(const MoveState &State, const MoveInputs &In) {
-  if (!MovePacer::isWatched(State, In.Now) || State.Candidate.empty() ||
-      In.Verdict.Kind != Judgement::Bad || !hasCapacity(State.Fallback, In))
-    return keep(State);
-  MoveDecision Decision = {MoveAction::Revert, State, true};
-  Decision.Next.InForce = State.Fallback;
-  Decision.Next.Reverted = true;
-  recordEvidence(Decision.Next, In.Verdict);
+/// Half of what the candidate has gained, so that both versions get calls.
+MoveDecision halve(const MoveState &State, const MoveInputs &In) {
+  MoveDecision Decision = {MoveAction::SetShare, State, false};
+  Split &Shares = Decision.Next.InForce;
+  std::uint32_t Settled = shareIn(State.Fallback, State.Candidate).parts();
+  std::uint32_t Taken = (Shares[State.Candidate].parts() - Settled) / 2;
+  Shares[State.Candidate] = Share(Shares[State.Candidate].parts() - Taken);
+  Shares[State.Baseline] = Share(Shares[State.Baseline].parts() + Taken);
+  Decision.Next.SteppedAt = In.Now;
   return Decision;
 }
 
-MoveDecision decideHolding(const MoveState &State, const MoveInputs &In) {
-  bool IsGood = In.Verdict.Kind == Judgement::GoodSoFar;
-  if (IsGood && In.Now - State.HeldSince >= State.holdTime()) {
-    MoveDecision Decision =
-        endAs(State, MovePhase::Done, MoveReason::TargetHeld, In.Now);
-    recordEvidence(Decision.Next, In.Verdict);
-    return Decision;
-  }
-  if (!IsGood || State.Evidence.Good)
-    return keep(State);
-  // A next leader may have to end the move on this record alone.
+bool isDoubtful(const MoveState &State, const MoveInputs &In) {
+  std::uint32_t Gain = State.shareOf(State.Candidate).parts() -
+                       std::min(State.shareOf(State.Candidate),
+                                shareIn(State.Fallback, State.Candidate))
+                           .parts();
+  return In.Verdict.Kind == Judgement::Suspect && State.NeedsEvidence &&
+         Share(Gain) > LargestDoubtfulShare && hasCapacity(State.Fallback, In);
+}
+
+MoveDecision restore(const MoveState &State, const MoveInputs &In) {
   MoveDecision Decision = {MoveAction::SetShare, State, false};
-  recordEvidence(Decision.Next, In.Verdict);
+  Decision.Next.InForce = State.To;
+  Decision.Next.SteppedAt = In.Now;
   return Decision;
 }
 
@@ -190,36 +197,87 @@
   if (!State.ended())
     return true;
   return State.Phase == MovePhase::Done && State.NeedsEvidence &&
-         !State.Reverted && Now <= State.EndedAt + State.Probation;
+         !State.Reverted &&
+         (Now <= State.EndedAt + State.Probation || State.InForce != State.To);
 }
 
 MoveDecision MovePacer::decide(const MoveState &State,
                                const MoveInputs &In) const {
   if (State.ended())
-    return decideDone(State, In);
+    return this->decideDone(State, In);
   bool IsBad = In.CandidateMarkedBad || In.Verdict.Kind == Judgement::Bad;
   if (IsBad && !State.Candidate.empty())
     return decideBad(State, In);
   if (In.Now >= State.Deadline)
     return this->decideAtDeadline(State, In);
   if (State.Phase == MovePhase::Holding)
-    return decideHolding(State, In);
+    return this->decideHolding(State, In);
   return this->decideShare(State, In);
 }
 
+MoveDecision MovePacer::decideHolding(const MoveState &State,
+                                      const MoveInputs &In) const {
+  bool IsGood = In.Verdict.Kind == Judgement::GoodSoFar;
+  if (In.Now - State.SteppedAt >= this->Options.StepInterval) {
+    if (isDoubtful(State, In))
+      return halve(State, In);
+    if (State.InForce != State.To && In.Verdict.Kind != Judgement::Suspect)
+      return restore(State, In);
+  }
+  if (IsGood && State.InForce == State.To &&
+      In.Now - State.HeldSince >= State.holdTime()) {
+    MoveDecision Decision =
+        endAs(State, MovePhase::Done, MoveReason::TargetHeld, In.Now);
+    recordEvidence(Decision.Next, In.Verdict);
+    return Decision;
+  }
+  if (!IsGood || State.Evidence.Good)
+    return keep(State);
+  // A next leader may have to end the move on this record alone.
+  MoveDecision Decision = {MoveAction::SetShare, State, false};
+  recordEvidence(Decision.Next, In.Verdict);
+  return Decision;
+}
+
+MoveDecision MovePacer::decideDone(const MoveState &State,
+                                   const MoveInputs &In) const {
+  if (!isWatched(State, In.Now))
+    return keep(State);
+  bool IsOver = In.Now > State.EndedAt + State.Probation;
+  bool IsSuspect = In.Verdict.Kind == Judgement::Suspect;
+  if ((In.Verdict.Kind == Judgement::Bad || (IsOver && IsSuspect)) &&
+      hasCapacity(State.Fallback, In)) {
+    MoveDecision Decision = {MoveAction::Revert, State, true};
+    Decision.Next.InForce = State.Fallback;
+    Decision.Next.Reverted = true;
+    recordEvidence(Decision.Next, In.Verdict);
+    return Decision;
+  }
+  if (In.Now - State.SteppedAt < this->Options.StepInterval)
+    return keep(State);
+  if (isDoubtful(State, In))
+    return halve(State, In);
+  return State.InForce != State.To && !IsSuspect ? restore(State, In)
+                                                 : keep(State);
+}
+
 MoveDecision MovePacer::decideAtDeadline(const MoveState &State,
                                          const MoveInputs &In) const {
-  bool IsGood = In.Verdict.Kind == Judgement::GoodSoFar || State.Evidence.Good;
-  bool IsInForce = State.InForce == State.To;
+  bool IsSuspect = In.Verdict.Kind == Judgement::Suspect;
+  bool IsGood = !IsSuspect && (In.Verdict.Kind == Judgement::GoodSoFar ||
+                               State.Evidence.Good);
+  bool IsHeld = State.InForce == State.To || State.Phase == MovePhase::Holding;
   bool HasCapacity = this->capacityGain(State, In) >= gainOf(State, State.To);
   if (!State.NeedsEvidence &&
-      (IsInForce || HasCapacity || State.To == State.Fallback))
+      (IsHeld || HasCapacity || State.To == State.Fallback))
     return endAs(State, MovePhase::Done, MoveReason::TargetHeld, In.Now);
   MoveDecision Decision =
       endAs(State, MovePhase::TakenBack, MoveReason::DeadlinePassed, In.Now);
-  if (IsInForce && IsGood)
+  if (IsHeld && IsGood)
     Decision = endAs(State, MovePhase::Done, MoveReason::TargetHeld, In.Now);
-  else if (!IsInForce && !HasCapacity)
+  else if (IsSuspect)
+    Decision.Next.Reason = MoveReason::BadVersion;
+  else if (!IsHeld && !HasCapacity)
     Decision.Next.Reason = MoveReason::NoCapacity;
   else if (!IsGood)
     Decision.Next.Reason = MoveReason::NoEvidence;
@@ -236,6 +294,10 @@
     if (State.Phase != MovePhase::Pending &&
         In.Now - State.SteppedAt < this->Options.StepInterval)
       return keep(State);
+    if (isDoubtful(State, In))
+      return halve(State, In);
+    if (In.Verdict.Kind == Judgement::Suspect && Current > 0)
+      return keep(State);
     Next = this->nextGain(State, In);
     bool IsSmall =
         Next < Target && Next >= Current && Next < Current * SmallestGrowth;
@@ -270,8 +332,8 @@
   if (!NeedsEvidence)
     return std::min(Target,
                     std::max(Current, std::min(Current + Size, Capacity)));
-  if (State.Phase == MovePhase::Pending && In.CallsPerSecond <= 0 &&
-      In.Now - State.StartedAt < RateWait)
+  Duration Wait = In.CallsPerSecond > 0 ? FirstWait : RateWait;
+  if (State.Phase == MovePhase::Pending && In.Now - State.StartedAt < Wait)
     return Current;
   double Planned = this->plannedGain(State, In);
   double Wanted = std::max(Planned, this->evidenceGain(State, In));
@@ -296,10 +358,18 @@
       this->Options.FirstRate * In.Routes + this->Options.RatePerCall * Calls;
   double Gain = std::max(1.0, Rate / In.CallsPerSecond * Share::Whole);
   if (Calls < static_cast<double>(this->Options.EarlyCalls) * In.Routes)
-    Gain = std::min(Gain, double(this->Options.EarlyShare.parts()));
+    Gain = std::min(Gain, this->earlyGain(In));
   return std::min(Gain, gainOf(State, State.To));
 }
 
+double MovePacer::earlyGain(const MoveInputs &In) const {
+  double Part = this->Options.EarlyShare.fraction() * EarlyPart;
+  double Ahead = In.CallsPerSecond * EarlyHorizon;
+  double Allowed = Part * (static_cast<double>(In.AllCalls) + Ahead);
+  double Left = Allowed - static_cast<double>(In.Verdict.CandidateCalls);
+  return std::max(1.0, Left / Ahead * Share::Whole);
+}
+
 double MovePacer::plannedGain(const MoveState &State,
                               const MoveInputs &In) const {
   double Target = gainOf(State, State.To);
--- a/src/libpolicy/movepacer.h
+++ b/src/libpolicy/movepacer.h
@@ -25,6 +25,9 @@
   AnalysisVerdict Verdict;
   /// Calls per second of the whole service; 0 while unknown.
   double CallsPerSecond = 0;
+  /// Calls of the whole service since the move began, from the same counters
+  /// as the verdict.
+  std::uint64_t AllCalls = 0;
   /// Calls of the whole service in flight (rate times mean latency).
   double Demand = 0;
   /// Calls that each version's live upstreams can hold at the same time; a
@@ -70,7 +73,8 @@
   double FirstRate = 2;
   /// Growth of the candidate's calls per second with each call seen.
   double RatePerCall = 0.5;
-  /// Share beyond which EarlyCalls per route are required.
+  /// Share of the first step at most, and of all calls of the move that the
+  /// candidate may have had until there are EarlyCalls per route.
   Share EarlyShare = Share(100);
   std::uint32_t EarlyCalls = 300;
   /// Largest factor and largest difference of one step.
@@ -80,7 +84,8 @@
   double CapacityPart = 0.8;
 };
 
-/// Decides each step of a move. It has no state of its own: everything is in
+/// Decides each step of a move. A suspect candidate whose share is large gets
+/// half of it, which gives it a concurrent baseline again. The pacer has no state of its own: everything is in
 /// the MoveState, which the log stores.
 class MovePacer {
 public:
@@ -106,10 +111,14 @@
   explicit MovePacer(PacerOptions Options) : Options(Options) {}
 
   MoveDecision decideShare(const MoveState &State, const MoveInputs &In) const;
+  MoveDecision decideHolding(const MoveState &State,
+                             const MoveInputs &In) const;
+  MoveDecision decideDone(const MoveState &State, const MoveInputs &In) const;
   MoveDecision decideAtDeadline(const MoveState &State,
                                 const MoveInputs &In) const;
   /// Shares of the driver beyond its share in the fallback, in parts.
   double evidenceGain(const MoveState &State, const MoveInputs &In) const;
+  double earlyGain(const MoveInputs &In) const;
   double plannedGain(const MoveState &State, const MoveInputs &In) const;
   double capacityGain(const MoveState &State, const MoveInputs &In) const;
   double nextGain(const MoveState &State, const MoveInputs &In) const;
--- a/src/libpolicy/movestate.h
+++ b/src/libpolicy/movestate.h
@@ -10,6 +10,10 @@
 
 namespace amaranthward {
 
+/// A version that is suspect keeps its share up to this one; a larger share is
+/// halved until the verdict is clear.
+inline constexpr Share LargestDoubtfulShare = Share(1000);
+
 using Split = std::map<VersionName, Share>;
 
 enum class MovePhase {
--- a/src/libpolicy/rateevidence.cpp
+++ b/src/libpolicy/rateevidence.cpp
@@ -26,11 +26,13 @@
 
 /// Part of all calls beyond which the candidate has no concurrent baseline.
 constexpr double AlonePart = 0.98;
-constexpr double AloneFactor = 3;
-constexpr double AloneMargin = 0.02;
-/// Without a concurrent baseline, evidence must last this long, so that a
-/// short outage of an availability zone convicts no version.
-constexpr Duration AlonePersistence = std::chrono::seconds(1);
+/// Allowance, without a concurrent baseline, for rates that change with time
+/// and load.
+constexpr double AloneFactor = 1.5;
+constexpr double AloneMargin = 0.005;
+/// Likelihood ratio from which a candidate is suspect, as a part of what a
+/// verdict needs. A false suspicion only lowers a share for some seconds.
+constexpr double SuspectPart = 0.01;
 
 constexpr double LowestRate = 1e-6;
 constexpr double HighestRate = 0.9;
@@ -96,7 +98,7 @@
     return;
   this->updateRatios(this->Waiting);
   this->Waiting = {};
-  this->conclude(Now);
+  this->conclude();
 }
 
 void RateEvidence::updateBaseline(Instant Now, FaultCount Baseline,
@@ -160,15 +162,11 @@
          ContrastNeeded;
 }
 
-void RateEvidence::conclude(Instant Now) {
-  if (this->evidence() < std::log(this->Threshold)) {
-    this->CrossedAt.reset();
-    return;
-  }
-  if (!this->CrossedAt)
-    this->CrossedAt = Now;
-  this->Bad = this->isAlone() ? Now - *this->CrossedAt >= AlonePersistence
-                              : this->isContrasted();
+void RateEvidence::conclude() {
+  double Evidence = this->evidence();
+  this->Bad = Evidence >= std::log(this->Threshold) && this->isContrasted();
+  this->Suspect =
+      !this->Bad && Evidence >= std::log(this->Threshold * SuspectPart);
 }
 
 void RateEvidence::rebase(FaultCount Baseline) {
@@ -178,12 +176,12 @@
 
 void RateEvidence::restart() {
   this->Bad = false;
+  this->Suspect = false;
   this->Steps = 0;
   this->Ratios = {};
   this->Divided = {};
   this->Waiting = {};
   this->RecentCandidate = {};
-  this->CrossedAt.reset();
 }
 
 double RateEvidence::evidence() const {
--- a/src/libpolicy/rateevidence.h
+++ b/src/libpolicy/rateevidence.h
@@ -43,6 +43,9 @@
   void restart();
 
   bool bad() const { return this->Bad; }
+  /// The candidate is probably bad, but the concurrent baseline does not yet
+  /// show that it fares better. False once \a bad is true.
+  bool suspect() const { return this->Suspect; }
   /// Natural logarithm of the mixture likelihood ratio.
   double evidence() const;
   /// Upper estimate of the baseline's rate used by the last step.
@@ -59,10 +62,11 @@
   void updateContrasts(FaultCount Baseline, FaultCount Candidate);
   bool isAlone() const;
   bool isContrasted() const;
-  void conclude(Instant Now);
+  void conclude();
 
   double Threshold;
   bool Bad = false;
+  bool Suspect = false;
   double UpperRate = 1;
   std::uint64_t Steps = 0;
   std::array<double, Alternatives> Ratios = {};
@@ -75,7 +79,6 @@
   FaultCount RecentBaseline;
   FaultCount RecentCandidate;
   std::optional<Instant> SteppedAt;
-  std::optional<Instant> CrossedAt;
 };
 
 } // namespace amaranthward
--- a/src/libpolicy/versionanalysis.cpp
+++ b/src/libpolicy/versionanalysis.cpp
@@ -25,6 +25,8 @@
     return "not_enough_evidence";
   case Judgement::GoodSoFar:
     return "good_so_far";
+  case Judgement::Suspect:
+    return "suspect";
   case Judgement::Bad:
     return "bad";
   }
@@ -73,6 +75,8 @@
   if (this->Verdict.CandidateCalls >= this->Options.GoodCalls)
     this->Verdict.Kind = Judgement::GoodSoFar;
   for (const auto &[Route, Analysis] : this->Routes) {
+    if (Analysis.failures().suspect() || Analysis.slowness().suspect())
+      this->Verdict.Kind = Judgement::Suspect;
     bool Fails = Analysis.failures().bad();
     if (!Fails && !Analysis.slowness().bad())
       continue;
--- a/src/libpolicy/versionanalysis.h
+++ b/src/libpolicy/versionanalysis.h
@@ -11,7 +11,14 @@
 
 namespace amaranthward {
 
-enum class Judgement { NotEnoughEvidence, GoodSoFar, Bad };
+enum class Judgement {
+  NotEnoughEvidence,
+  GoodSoFar,
+  /// Probably bad, but there is no concurrent baseline, or too little of it,
+  /// to exclude a disturbance of both versions.
+  Suspect,
+  Bad,
+};
 
 const char *toString(Judgement Kind);
 
