--- a/src/libpolicy/rateevidence.cpp
+++ b/src/libpolicy/rateevidence.cpp
@@ -6,14 +6,21 @@
 namespace amaranthward {
 namespace {
 
+/// The mixture is kept from exceeding what a verdict needs by more than this
+/// factor. Without it, the evidence from a disturbance of both versions took 20
+/// seconds of good calls to fade.
+constexpr double ExcessKept = 100;
+
 /// Alternative rates, as the part of the way from the baseline's rate to 1.
 constexpr std::array<double, 6> AlternativeParts = {0.02, 0.06, 0.15,
                                                     0.35, 0.65, 0.95};
 /// Odds ratios of the comparison with the concurrent baseline.
 constexpr std::array<double, 3> OddsRatios = {4, 30, 300};
-/// Logarithm of 1,000: a disturbance that strikes both versions alike passes
-/// the comparison with probability 1/1,000 at most.
-constexpr double ContrastNeeded = 6.9;
+/// Logarithm of 10,000: on one route, a disturbance that strikes both versions
+/// alike passes the comparison at one odds ratio with probability 1/10,000 at
+/// most. 1/1,000 let a 3.4% disturbance at a share of 70% convict a good
+/// version in 1 of 300 seeds.
+constexpr double ContrastNeeded = 9.2;
 
 /// Baseline calls below which nothing is concluded.
 constexpr double BaselineNeeded = 200;
@@ -26,11 +33,13 @@
 
 /// Part of all calls beyond which the candidate has no concurrent baseline.
 constexpr double AlonePart = 0.98;
-constexpr double AloneFactor = 3;
-constexpr double AloneMargin = 0.02;
-/// Without a concurrent baseline, evidence must last this long, so that a
-/// short outage of an availability zone convicts no version.
-constexpr Duration AlonePersistence = std::chrono::seconds(1);
+/// Allowance, without a concurrent baseline, for rates that change with time
+/// and load.
+constexpr double AloneFactor = 1.5;
+constexpr double AloneMargin = 0.005;
+/// Likelihood ratio from which a candidate is suspect, as a part of what a
+/// verdict needs. A false suspicion only lowers a share for some seconds.
+constexpr double SuspectPart = 0.01;
 
 constexpr double LowestRate = 1e-6;
 constexpr double HighestRate = 0.9;
@@ -96,7 +105,7 @@
     return;
   this->updateRatios(this->Waiting);
   this->Waiting = {};
-  this->conclude(Now);
+  this->conclude();
 }
 
 void RateEvidence::updateBaseline(Instant Now, FaultCount Baseline,
@@ -131,8 +140,9 @@
     double PerFault = std::log(Rate / this->UpperRate);
     double PerGood = std::log1p(-AlternativeParts[At]);
     double Likelihood = std::exp(Candidate.Faults * PerFault + Good * PerGood);
+    double Ratio = (this->Ratios[At] + Weight) * Likelihood;
     this->Ratios[At] =
-        std::min((this->Ratios[At] + Weight) * Likelihood, 1e200);
+        std::min(Ratio, this->Threshold * Alternatives * ExcessKept);
   }
 }
 
@@ -160,15 +170,11 @@
          ContrastNeeded;
 }
 
-void RateEvidence::conclude(Instant Now) {
-  if (this->evidence() < std::log(this->Threshold)) {
-    this->CrossedAt.reset();
-    return;
-  }
-  if (!this->CrossedAt)
-    this->CrossedAt = Now;
-  this->Bad = this->isAlone() ? Now - *this->CrossedAt >= AlonePersistence
-                              : this->isContrasted();
+void RateEvidence::conclude() {
+  double Evidence = this->evidence();
+  this->Bad = Evidence >= std::log(this->Threshold) && this->isContrasted();
+  this->Suspect =
+      !this->Bad && Evidence >= std::log(this->Threshold * SuspectPart);
 }
 
 void RateEvidence::rebase(FaultCount Baseline) {
@@ -178,12 +184,12 @@
 
 void RateEvidence::restart() {
   this->Bad = false;
+  this->Suspect = false;
   this->Steps = 0;
   this->Ratios = {};
   this->Divided = {};
   this->Waiting = {};
   this->RecentCandidate = {};
-  this->CrossedAt.reset();
 }
 
 double RateEvidence::evidence() const {
