--- a/src/libpolicy/warmupramp.cpp
+++ b/src/libpolicy/warmupramp.cpp
@@ -18,6 +18,8 @@
 constexpr double OrdinaryGrowth = 0.5;
 constexpr double Noise = 0.03;
 constexpr std::uint32_t MostFailures = 2;
+/// Part of a measurement that counts in the next one at the same level.
+constexpr double Carried = 0.5;
 /// Improvement below which the upstream no longer warms up, and the part of
 /// the warm-up time over which it is measured.
 constexpr double SettledChange = 0.05;
@@ -51,10 +53,10 @@
 void WarmUpRamp::restart(Instant Now) {
   this->Level = 1;
   this->Warm = false;
-  this->LevelSince = Now;
-  this->Earlier = Window();
+  this->Start = Now;
+  this->SettledOnce = false;
   this->Last = Window();
-  this->beginStep(false);
+  this->beginLevel(Now);
 }
 
 double WarmUpRamp::recent(std::uint32_t Route) const {
@@ -65,23 +67,39 @@
 }
 
 std::uint32_t WarmUpRamp::limit() const {
-  return this->AtHalf ? (this->Level + 1) / 2 : this->Level;
+  return this->AtLow ? this->lowLevel() : this->Level;
 }
 
 bool WarmUpRamp::isFull(const Window &One) const {
   return One.Count >= WindowCalls;
 }
 
-void WarmUpRamp::beginStep(bool AtHalf) {
-  this->AtHalf = AtHalf && this->Level > 1;
+void WarmUpRamp::beginStep(bool AtLow) {
+  this->AtLow = AtLow && this->Level > 1;
   ++this->StepNumber;
-  (this->AtHalf ? this->Half : this->Full) = Window();
+  Window &Next = this->AtLow ? this->Low : this->Full;
+  Next.Count = 0;
+  Next.Failures = 0;
+  Next.AboveExpected *= Carried;
+  Next.Expected *= Carried;
+  for (Sum &One : Next.ByRoute) {
+    One.Log *= Carried;
+    One.Count *= Carried;
+  }
+}
+
+void WarmUpRamp::beginLevel(Instant Now) {
+  this->LevelSince = Now;
+  this->Low = Window();
+  this->Full = Window();
+  this->Earlier = Window();
+  this->beginStep(true);
 }
 
 void WarmUpRamp::add(const RampSample &Sample, Instant Now) {
   if (this->Warm)
     return;
-  Window &Here = this->AtHalf ? this->Half : this->Full;
+  Window &Here = this->AtLow ? this->Low : this->Full;
   if (Sample.Failed) {
     if (++Here.Failures > MostFailures)
       this->lower(Now);
@@ -104,12 +122,15 @@
 }
 
 void WarmUpRamp::endStep(Instant Now) {
-  this->Last = this->AtHalf ? this->Half : this->Full;
-  if (this->AtHalf) {
+  if (this->AtLow) {
     this->beginStep(false);
     return;
   }
-  bool Ready = this->latencyAllows() || this->isSettled(Now);
+  this->Last = this->Full;
+  bool Settled = this->isSettled(Now);
+  bool Ready = Settled || (this->baselineKnown() ? this->baselineAllows()
+                                                 : this->trendAllows(Now) &&
+                                                       this->latencyAllows());
   if (Ready && this->paceAllows(Now))
     this->raise(Now);
   else
@@ -125,25 +146,37 @@
   return Now - this->LevelSince >= Needed;
 }
 
+bool WarmUpRamp::baselineKnown() const {
+  return this->Full.Expected >= WindowCalls / 2.0;
+}
+
+// Slower per call and fewer calls at a time both show in the latency, so the
+// capacity is taken to fall with its square.
+bool WarmUpRamp::baselineAllows() const {
+  double Above = this->Full.AboveExpected / this->Full.Expected - Noise;
+  if (Above <= 0)
+    return true;
+  return this->Slots * std::exp(-2 * Above) >= this->Level + 1 &&
+         this->latencyAllows();
+}
+
+// A latency that still improves after the declared time shows that the
+// declaration is too short, so it is no longer a protection.
+bool WarmUpRamp::trendAllows(Instant Now) const {
+  return Now - this->Start < this->WarmUp || this->SettledOnce;
+}
+
 bool WarmUpRamp::latencyAllows() const {
-  if (this->Full.Expected >= WindowCalls / 2) {
-    // Slower per call and fewer calls at a time both show in the latency, so
-    // the capacity is taken to fall with its square.
-    double Above =
-        std::max(0.0, this->Full.AboveExpected / this->Full.Expected - Noise);
-    return this->Slots * std::exp(-2 * Above) >= this->Level + 1 ||
-           Above <= Noise;
-  }
   if (this->Level == 1)
     return true;
   std::optional<double> Growth =
-      difference(this->Full.ByRoute, this->Half.ByRoute);
+      difference(this->Full.ByRoute, this->Low.ByRoute);
   if (!Growth)
     return false;
-  double AtFull = static_cast<double>(this->Level) / this->Slots;
-  double AtHalf = (this->Level + 1) / 2 / static_cast<double>(this->Slots);
-  double Ordinary = std::log1p(OrdinaryGrowth * AtFull * AtFull) -
-                    std::log1p(OrdinaryGrowth * AtHalf * AtHalf);
+  double High = static_cast<double>(this->Level) / this->Slots;
+  double Low = static_cast<double>(this->lowLevel()) / this->Slots;
+  double Ordinary = std::log1p(OrdinaryGrowth * High * High) -
+                    std::log1p(OrdinaryGrowth * Low * Low);
   return *Growth <= Ordinary + Noise;
 }
 
@@ -159,27 +192,26 @@
       difference(this->Full.ByRoute, this->Earlier.ByRoute);
   this->Earlier = this->Full;
   this->EarlierAt = Now;
-  return Change && *Change > -SettledChange && this->Full.Failures == 0;
+  bool Settled = Change && *Change > -SettledChange && this->Full.Failures == 0;
+  if (Settled && Now - this->Start >= this->WarmUp)
+    this->SettledOnce = true;
+  return Settled;
 }
 
 void WarmUpRamp::raise(Instant Now) {
-  this->LevelSince = Now;
-  this->Earlier = Window();
   if (this->Level == this->Slots) {
     this->Warm = true;
-    this->AtHalf = false;
+    this->AtLow = false;
     ++this->StepNumber;
     return;
   }
   ++this->Level;
-  this->beginStep(true);
+  this->beginLevel(Now);
 }
 
 void WarmUpRamp::lower(Instant Now) {
   this->Level = std::max(1U, this->Level / 2);
-  this->LevelSince = Now;
-  this->Earlier = Window();
-  this->beginStep(true);
+  this->beginLevel(Now);
 }
 
 } // namespace amaranthward
--- a/src/libpolicy/warmupramp.h
+++ b/src/libpolicy/warmupramp.h
@@ -22,8 +22,8 @@
 };
 
 /// Limit on concurrent calls of an upstream that may be cold. Starts at one
-/// call. Each level is measured twice, at half of the level and at the level;
-/// the next level follows only when the comparison shows no queueing, and no
+/// call. Each level is measured at a third of the level and at the level; the
+/// next level follows only when the comparison shows no queueing, and no
 /// earlier than the declared warm-up time allows.
 class WarmUpRamp {
 public:
@@ -38,44 +38,53 @@
   /// Number of the measurement that calls started now belong to.
   std::uint64_t step() const { return this->StepNumber; }
   std::uint32_t level() const { return this->Level; }
-  /// Mean log latency of the last measurement; 0 when unknown.
+  /// Mean log latency of the last measurement at a full level; 0 when unknown.
   double recent(std::uint32_t Route) const;
 
 private:
   struct Sum {
     double Log = 0;
-    std::uint32_t Count = 0;
+    double Count = 0;
   };
   /// Measurement at one limit.
   struct Window {
     std::vector<Sum> ByRoute;
+    /// Calls of this step; the sums also hold a part of earlier steps at the
+    /// same level, so that chance is not tried until it succeeds.
     std::uint32_t Count = 0;
     std::uint32_t Failures = 0;
     double AboveExpected = 0;
-    std::uint32_t Expected = 0;
+    double Expected = 0;
   };
 
   bool isFull(const Window &One) const;
-  void beginStep(bool AtHalf);
+  void beginStep(bool AtLow);
+  void beginLevel(Instant Now);
   void endStep(Instant Now);
   void raise(Instant Now);
   void lower(Instant Now);
   bool paceAllows(Instant Now) const;
   bool latencyAllows() const;
+  bool baselineKnown() const;
+  bool baselineAllows() const;
+  bool trendAllows(Instant Now) const;
+  std::uint32_t lowLevel() const { return (this->Level + 2) / 3; }
   /// No improvement over a long time: the upstream is as warm as it gets.
   bool isSettled(Instant Now);
 
   std::uint32_t Slots;
   Duration WarmUp;
+  Instant Start;
   Instant LevelSince;
+  bool SettledOnce = false;
   std::uint32_t Level = 1;
-  bool AtHalf = false;
+  bool AtLow = false;
   bool Warm = false;
   std::uint64_t StepNumber = 0;
-  Window Half;
+  Window Low;
   Window Full;
   Window Last;
-  /// Mean latency of an earlier measurement at this level.
+  /// An earlier measurement at this level.
   Window Earlier;
   Instant EarlierAt;
 };
