--- a/bench/policy/gateexperiment.cpp
+++ b/bench/policy/gateexperiment.cpp
@@ -78,6 +78,7 @@
     double Factor = std::exp(Spread * this->normal() - Spread * Spread / 2);
     SimulatedCall Call{Kind->Class, this->Events.now() + Kind->Timeout,
                        RouteName(Kind->Name),
+                       this->uniform() < this->Plan.Cancellable,
                        Duration(static_cast<Duration::rep>(
                            static_cast<double>(Kind->Work.count()) * Factor))};
     auto Class = static_cast<std::size_t>(Kind->Class);
@@ -85,6 +86,8 @@
     this->Gate.submit(Call, [this, Class](CallEnd How) {
       if (How == CallEnd::Answered)
         ++this->Figures.Answered[Class];
+      else if (How == CallEnd::Cancelled)
+        ++this->Figures.Cancelled;
       else if (How == CallEnd::Failed)
         ++this->Figures.Failed[Class];
       else
--- a/bench/policy/gateexperiment.h
+++ b/bench/policy/gateexperiment.h
@@ -15,6 +15,8 @@
   Duration Length = std::chrono::seconds(30);
   /// When the warm upstream turns cold again; none when zero.
   Duration TurnsCold = Duration::zero();
+  /// Part of the calls that the gate may cancel.
+  double Cancellable = 0;
   /// Spread of the work of calls (standard deviation of its logarithm).
   double WorkSpread = 0.4;
   std::uint64_t Seed = 1;
@@ -25,6 +27,7 @@
   std::array<std::uint64_t, 3> Answered{};
   std::array<std::uint64_t, 3> Failed{};
   std::array<std::uint64_t, 3> Shed{};
+  std::uint64_t Cancelled = 0;
   /// Starts above what the cold upstream can bear: before it turned cold
   /// again, and from then until the limit dropped, and after that.
   std::uint64_t AboveAtStart = 0;
--- a/bench/policy/simulatedgate.cpp
+++ b/bench/policy/simulatedgate.cpp
@@ -46,7 +46,8 @@
   }
   AdmissionActions Actions;
   AdmissionDecision Decision = this->Gate->request(
-      {Call.Class, Call.Deadline, Call.Route}, this->Events.now(), Actions);
+      {Call.Class, Call.Deadline, Call.Route, Call.Cancellable},
+      this->Events.now(), Actions);
   if (Decision.Verdict == AdmissionVerdict::Refuse) {
     this->apply(Actions);
     OnDone(Decision.Reason == RefusalReason::Leaving ? CallEnd::Leaving
@@ -75,6 +76,14 @@
 }
 
 void SimulatedGate::apply(const AdmissionActions &Actions) {
+  for (AdmissionTicket Ticket : Actions.Cancel) {
+    if (this->Running.erase(Ticket.value()) == 0)
+      continue;
+    this->Model.cancel(Ticket.value(), this->Events.now());
+    this->apply(this->Gate->complete(Ticket, UpstreamResult::Cancelled,
+                                     std::nullopt, this->Events.now()));
+    this->end(Ticket.value(), CallEnd::Cancelled);
+  }
   for (AdmissionTicket Ticket : Actions.Start)
     this->start(Ticket.value());
   for (const AdmissionActions::Refusal &One : Actions.Refused)
--- a/bench/policy/simulatedgate.h
+++ b/bench/policy/simulatedgate.h
@@ -24,10 +24,11 @@
   CallClass Class = CallClass::Interactive;
   Instant Deadline;
   RouteName Route;
+  bool Cancellable = false;
   Duration Work = std::chrono::milliseconds(20);
 };
 
-enum class CallEnd { Answered, Failed, Shed, Leaving };
+enum class CallEnd { Answered, Failed, Cancelled, Shed, Leaving };
 
 /// One upstream model behind one gate in virtual time.
 class SimulatedGate {
--- a/bench/policy/upstreammodel.cpp
+++ b/bench/policy/upstreammodel.cpp
@@ -63,6 +63,11 @@
   }
 }
 
+void UpstreamModel::cancel(std::uint64_t Id, Instant Now) {
+  this->run(Now);
+  this->Calls.erase(Id);
+}
+
 void UpstreamModel::run(Instant Until) {
   while (this->Time < Until) {
     Duration Left = std::min(Until - this->Time, Step);
--- a/bench/policy/upstreammodel.h
+++ b/bench/policy/upstreammodel.h
@@ -42,6 +42,7 @@
 
   /// \a Work is the time that a lone call takes on the warm upstream.
   void start(std::uint64_t Call, Duration Work, Instant Now);
+  void cancel(std::uint64_t Call, Instant Now);
   /// Runs up to \a Now and returns the calls that ended.
   std::vector<Finished> advance(Instant Now);
   /// When advance() is due; none when idle.
--- a/src/libpolicy/admissioncontrol.h
+++ b/src/libpolicy/admissioncontrol.h
@@ -30,6 +30,9 @@
   Instant Deadline;
   /// Latencies are compared only within one route.
   RouteName Route;
+  /// Idempotent: may be cancelled while it runs, to save an upstream that was
+  /// found cold under load.
+  bool Cancellable = false;
 };
 
 enum class AdmissionVerdict { Admit, Queue, Refuse };
@@ -66,6 +69,10 @@
     AdmissionTicket Ticket;
     RefusalReason Reason = RefusalReason::None;
   };
+  /// Running calls to be cancelled at the upstream, bulk first, because it was
+  /// found cold; end each with complete() and UpstreamResult::Cancelled. Only
+  /// calls that were marked as cancellable.
+  std::vector<AdmissionTicket> Cancel;
   /// Not run; nothing further is expected for these tickets.
   std::vector<Refusal> Refused;
 };
--- a/src/libpolicy/admissiongate.cpp
+++ b/src/libpolicy/admissiongate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace amaranthward {
 
@@ -80,7 +81,7 @@
                                                   AdmissionActions &Actions) {
   if (!this->ColdSince)
     this->becomeCold(Now);
-  this->watch(Now);
+  this->watch(Now, Actions);
   this->refuseExpired(Now, Actions);
   AdmissionDecision Decision;
   if (this->LeavingSince) {
@@ -96,7 +97,9 @@
     return this->enqueue(Call, Route, Now, Actions);
   Decision.Verdict = AdmissionVerdict::Admit;
   Decision.Ticket = AdmissionTicket(this->NextTicket++);
-  this->start(Decision.Ticket, Call.Class, Route, Now);
+  this->start(
+      {Call.Class, Call.Deadline, Decision.Ticket, Route, Call.Cancellable},
+      Now);
   return Decision;
 }
 
@@ -125,22 +128,23 @@
   }
   Decision.Verdict = AdmissionVerdict::Queue;
   Decision.Ticket = AdmissionTicket(this->NextTicket++);
-  auto Displaced =
-      this->Queue.add({Call.Class, Call.Deadline, Decision.Ticket, Route});
+  auto Displaced = this->Queue.add(
+      {Call.Class, Call.Deadline, Decision.Ticket, Route, Call.Cancellable});
   if (Displaced)
     Actions.Refused.push_back({Displaced->Ticket, RefusalReason::Displaced});
   return Decision;
 }
 
-void AdmissionControl::Impl::start(AdmissionTicket Ticket, CallClass Class,
-                                   std::uint32_t Route, Instant Now) {
+void AdmissionControl::Impl::start(const AdmissionQueue::Waiting &Call,
+                                   Instant Now) {
   auto InFlight = static_cast<std::uint32_t>(this->Calls.size()) + 1;
   double Expected = this->Ramp.isWarm()
-                        ? this->Baseline.expected(Route, InFlight)
-                        : this->Ramp.recent(Route);
-  this->Calls.push_back(
-      {Ticket, Class, Route, InFlight, this->Ramp.step(), Now, Expected});
-  ++this->RunningByClass[static_cast<std::size_t>(Class)];
+                        ? this->Baseline.expected(Call.Route, InFlight)
+                        : this->Ramp.recent(Call.Route);
+  this->Calls.push_back({Call.Ticket, Call.Class, Call.Route, InFlight,
+                         this->Ramp.step(), Now, Expected, Call.Cancellable,
+                         false});
+  ++this->RunningByClass[static_cast<std::size_t>(Call.Class)];
 }
 
 void AdmissionControl::Impl::startWaiting(Instant Now,
@@ -157,7 +161,7 @@
           {First.Ticket, RefusalReason::DeadlineTooShort});
       continue;
     }
-    this->start(First.Ticket, First.Class, First.Route, Now);
+    this->start(First, Now);
     Actions.Start.push_back(First.Ticket);
   }
 }
@@ -193,7 +197,7 @@
 
 AdmissionActions AdmissionControl::Impl::advance(Instant Now) {
   AdmissionActions Actions;
-  this->watch(Now);
+  this->watch(Now, Actions);
   this->refuseExpired(Now, Actions);
   this->startWaiting(Now, Actions);
   return Actions;
@@ -249,7 +253,7 @@
   return Sum;
 }
 
-void AdmissionControl::Impl::watch(Instant Now) {
+void AdmissionControl::Impl::watch(Instant Now, AdmissionActions &Actions) {
   if (!this->Ramp.isWarm() && this->ColdSince &&
       Now - *this->ColdSince > BaselineTrust * this->Settings.WarmUp)
     this->Baseline.clear();
@@ -257,6 +261,28 @@
     return;
   ++this->ColdAgain;
   this->becomeCold(Now);
+  this->cancelExcess(Now, Actions);
+}
+
+// What runs already is more than the cold upstream can bear. The calls that
+// matter least go first, and among them the ones that ran for the least time.
+void AdmissionControl::Impl::cancelExcess(Instant Now,
+                                          AdmissionActions &Actions) {
+  std::vector<Running *> Order;
+  for (Running &Call : this->Calls)
+    if (Call.Cancellable && !Call.Cancelled)
+      Order.push_back(&Call);
+  std::sort(Order.begin(), Order.end(), [](const Running *L, const Running *R) {
+    return std::tie(L->Class, L->Start, L->Ticket) >
+           std::tie(R->Class, R->Start, R->Ticket);
+  });
+  std::size_t Left = this->Calls.size();
+  for (Running *Call : Order) {
+    if (Left-- <= this->limit(Now))
+      return;
+    Call->Cancelled = true;
+    Actions.Cancel.push_back(Call->Ticket);
+  }
 }
 
 void AdmissionControl::Impl::becomeCold(Instant Now) {
--- a/src/libpolicy/admissiongate.h
+++ b/src/libpolicy/admissiongate.h
@@ -40,19 +40,21 @@
     std::uint64_t RampStep;
     Instant Start;
     double LogExpected;
+    bool Cancellable;
+    bool Cancelled;
   };
 
   std::uint32_t routeIndex(const RouteName &Route);
   std::uint32_t limit(Instant Now) const;
   bool canStart(CallClass Class, Instant Now) const;
-  void start(AdmissionTicket Ticket, CallClass Class, std::uint32_t Route,
-             Instant Now);
+  void start(const AdmissionQueue::Waiting &Call, Instant Now);
   AdmissionDecision enqueue(const AdmissionRequest &Call, std::uint32_t Route,
                             Instant Now, AdmissionActions &Actions);
   void startWaiting(Instant Now, AdmissionActions &Actions);
   void refuseExpired(Instant Now, AdmissionActions &Actions);
   /// Lowers the limit when calls show that the upstream is cold.
-  void watch(Instant Now);
+  void watch(Instant Now, AdmissionActions &Actions);
+  void cancelExcess(Instant Now, AdmissionActions &Actions);
   double overdue(Instant Now) const;
   void observe(const Running &Call, UpstreamResult Result, Duration Latency,
                Instant Now);
--- a/src/libpolicy/admissionqueue.cpp
+++ b/src/libpolicy/admissionqueue.cpp
@@ -45,7 +45,7 @@
 AdmissionQueue::takeExpired(Instant Until) {
   for (CallClass Class :
        {CallClass::Urgent, CallClass::Interactive, CallClass::Bulk}) {
-    auto First = this->Calls.lower_bound({Class, Instant::min(), {}, 0});
+    auto First = this->Calls.lower_bound({Class, Instant::min(), {}, 0, false});
     if (First == this->Calls.end() || First->Class != Class ||
         First->Deadline > Until)
       continue;
@@ -68,7 +68,7 @@
   std::optional<Instant> Earliest;
   for (CallClass Class :
        {CallClass::Urgent, CallClass::Interactive, CallClass::Bulk}) {
-    auto First = this->Calls.lower_bound({Class, Instant::min(), {}, 0});
+    auto First = this->Calls.lower_bound({Class, Instant::min(), {}, 0, false});
     if (First != this->Calls.end() && First->Class == Class &&
         (!Earliest || First->Deadline < *Earliest))
       Earliest = First->Deadline;
@@ -77,7 +77,7 @@
 }
 
 std::uint32_t AdmissionQueue::ahead(CallClass Class, Instant Deadline) const {
-  auto Place = this->Calls.lower_bound({Class, Deadline, {}, 0});
+  auto Place = this->Calls.lower_bound({Class, Deadline, {}, 0, false});
   return static_cast<std::uint32_t>(std::distance(this->Calls.begin(), Place));
 }
 
--- a/src/libpolicy/admissionqueue.h
+++ b/src/libpolicy/admissionqueue.h
@@ -17,6 +17,7 @@
     Instant Deadline;
     AdmissionTicket Ticket;
     std::uint32_t Route = 0;
+    bool Cancellable = false;
 
     friend bool operator<(const Waiting &L, const Waiting &R) {
       return std::tie(L.Class, L.Deadline, L.Ticket) <
--- /dev/null
+++ b/src/libpolicy/retrydecision.cpp
@@ -0,0 +1,30 @@
+#include "libpolicy/retrydecision.h"
+
+namespace amaranthward {
+
+namespace {
+
+RetryDecision stop(StopReason Reason) { return {RetryAction::Stop, Reason}; }
+
+} // namespace
+
+RetryDecision retryDecision(const RetryQuestion &Question) {
+  bool Failed = Question.Outcome != AttemptOutcome::NotRun;
+  if (Question.Outcome == AttemptOutcome::Answered)
+    return stop(StopReason::Answered);
+  if (Failed && !Question.Idempotent)
+    return stop(StopReason::MayHaveRun);
+  if (!Question.BodyHeld)
+    return stop(StopReason::BodyGone);
+  if (Question.TimeLeft < MinRetryTime)
+    return stop(StopReason::NoTimeLeft);
+  if (Question.Attempts >= MaxAttempts)
+    return stop(StopReason::TooManyAttempts);
+  if (Failed && Question.UnprovenVersion && !Question.BaselineTried)
+    return {RetryAction::RetryOnBaseline, StopReason::None};
+  if (!Question.BudgetLeft)
+    return stop(StopReason::BudgetSpent);
+  return {RetryAction::Retry, StopReason::None};
+}
+
+} // namespace amaranthward
--- /dev/null
+++ b/src/libpolicy/upstreamchoice.cpp
@@ -0,0 +1,312 @@
+#include "libpolicy/upstreamchoice.h"
+
+#include "libpolicy/choiceentry.h"
+#include <algorithm>
+#include <array>
+#include <map>
+
+namespace amaranthward {
+
+namespace {
+
+constexpr std::uint32_t PickTries = 4;
+constexpr std::uint32_t MostDoublings = 10;
+
+UpstreamHandle handleOf(std::uint32_t Index, std::uint32_t Generation) {
+  return UpstreamHandle((std::uint64_t(Generation) << 32) | Index);
+}
+
+std::uint32_t indexOf(UpstreamHandle Handle) {
+  return static_cast<std::uint32_t>(Handle.value());
+}
+
+bool contains(std::span<const UpstreamHandle> All, UpstreamHandle One) {
+  return std::find(All.begin(), All.end(), One) != All.end();
+}
+
+} // namespace
+
+class UpstreamChoice::Impl {
+public:
+  Impl(const UpstreamChoiceSettings &Settings, RandomFunction Random)
+      : Settings(Settings), Random(std::move(Random)) {}
+
+  void setCandidates(const std::vector<UpstreamCandidate> &All,
+                     const std::set<ZoneName> &OutOfService, Instant Now);
+  std::optional<UpstreamHandle> choose(Instant Now,
+                                       std::span<const UpstreamHandle> Avoid);
+  void finish(UpstreamHandle Handle, AttemptResult Result, Duration Latency,
+              Instant Now);
+  ChoiceEntry *find(UpstreamHandle Handle);
+  std::size_t inService() const { return this->InService; }
+  std::size_t ejected(Instant Now) const;
+
+private:
+  /// Own zone, own region, elsewhere.
+  static constexpr std::size_t Tiers = 3;
+  using IndexList = std::vector<std::uint32_t>;
+
+  std::size_t tierOf(const UpstreamCandidate &One) const;
+  void rebuild(Instant Now);
+  ChoiceEntry *pick(const IndexList &From,
+                    std::span<const UpstreamHandle> Avoid, Instant Now);
+  ChoiceEntry *pickOne(const IndexList &From,
+                       std::span<const UpstreamHandle> Avoid);
+  UpstreamHandle handleOf(const ChoiceEntry &One) const;
+  void eject(ChoiceEntry &One, Share Most, Instant Now);
+  void put(const UpstreamCandidate &One);
+
+  UpstreamChoiceSettings Settings;
+  RandomFunction Random;
+  std::vector<ChoiceEntry> Entries;
+  std::array<IndexList, Tiers> Available;
+  std::size_t InService = 0;
+  Instant NextReturn = Instant::max();
+};
+
+std::size_t UpstreamChoice::Impl::tierOf(const UpstreamCandidate &One) const {
+  if (One.Zone == this->Settings.OwnZone)
+    return 0;
+  return One.Region == this->Settings.OwnRegion ? 1 : 2;
+}
+
+UpstreamHandle UpstreamChoice::Impl::handleOf(const ChoiceEntry &One) const {
+  auto Index = static_cast<std::uint32_t>(&One - this->Entries.data());
+  return amaranthward::handleOf(Index, One.Generation);
+}
+
+void UpstreamChoice::Impl::put(const UpstreamCandidate &One) {
+  auto Free = std::find_if(this->Entries.begin(), this->Entries.end(),
+                           [](const ChoiceEntry &E) { return !E.Used; });
+  if (Free == this->Entries.end())
+    this->Entries.emplace_back(One, 1);
+  else
+    *Free = ChoiceEntry(One, Free->Generation + 1);
+}
+
+void UpstreamChoice::Impl::setCandidates(
+    const std::vector<UpstreamCandidate> &All,
+    const std::set<ZoneName> &OutOfService, Instant Now) {
+  std::map<std::pair<NodeName, Incarnation>, const UpstreamCandidate *> Wanted;
+  for (const UpstreamCandidate &One : All)
+    Wanted[{One.Node, One.Start}] = &One;
+  for (ChoiceEntry &Entry : this->Entries) {
+    if (!Entry.Used)
+      continue;
+    auto Found = Wanted.find({Entry.Candidate.Node, Entry.Candidate.Start});
+    Entry.Used = Found != Wanted.end();
+    if (!Entry.Used)
+      continue;
+    Entry.Candidate = *Found->second;
+    Wanted.erase(Found);
+  }
+  for (const auto &[Key, One] : Wanted)
+    this->put(*One);
+  this->InService = 0;
+  for (ChoiceEntry &Entry : this->Entries) {
+    bool Eligible = Entry.Used && !Entry.Candidate.Leaving &&
+                    !OutOfService.contains(Entry.Candidate.Zone);
+    if (Eligible && !Entry.Eligible)
+      Entry.expectCold();
+    Entry.Eligible = Eligible;
+    this->InService += Eligible ? 1 : 0;
+  }
+  this->rebuild(Now);
+}
+
+void UpstreamChoice::Impl::rebuild(Instant Now) {
+  this->NextReturn = Instant::max();
+  for (IndexList &List : this->Available)
+    List.clear();
+  for (std::uint32_t I = 0; I < this->Entries.size(); ++I) {
+    ChoiceEntry &Entry = this->Entries[I];
+    if (!Entry.Used || !Entry.Eligible)
+      continue;
+    if (Entry.isEjected(Now))
+      this->NextReturn = std::min(this->NextReturn, Entry.EjectedUntil);
+    else
+      this->Available[this->tierOf(Entry.Candidate)].push_back(I);
+  }
+}
+
+std::optional<UpstreamHandle>
+UpstreamChoice::Impl::choose(Instant Now,
+                             std::span<const UpstreamHandle> Avoid) {
+  if (Now >= this->NextReturn)
+    this->rebuild(Now);
+  ChoiceEntry *Best = nullptr;
+  double BestCost = 0;
+  // The nearest tier that has room; when none has, the cheapest pick.
+  for (const IndexList &Tier : this->Available) {
+    ChoiceEntry *One = this->pick(Tier, Avoid, Now);
+    if (!One)
+      continue;
+    if (!One->isFull(Now)) {
+      Best = One;
+      break;
+    }
+    double Cost = One->cost(Now);
+    if (!Best || Cost < BestCost) {
+      Best = One;
+      BestCost = Cost;
+    }
+  }
+  if (!Best && !Avoid.empty())
+    return this->choose(Now, {});
+  if (!Best)
+    return std::nullopt;
+  Best->begin();
+  return this->handleOf(*Best);
+}
+
+ChoiceEntry *
+UpstreamChoice::Impl::pickOne(const IndexList &From,
+                              std::span<const UpstreamHandle> Avoid) {
+  std::uint64_t Start = 0;
+  for (std::uint32_t Try = 0; Try < PickTries; ++Try) {
+    Start = ((this->Random() >> 32) * From.size()) >> 32;
+    ChoiceEntry &One = this->Entries[From[Start]];
+    if (Avoid.empty() || !contains(Avoid, this->handleOf(One)))
+      return &One;
+  }
+  for (std::size_t I = 0; I < From.size(); ++I) {
+    ChoiceEntry &One = this->Entries[From[(Start + I) % From.size()]];
+    if (!contains(Avoid, this->handleOf(One)))
+      return &One;
+  }
+  return nullptr;
+}
+
+ChoiceEntry *UpstreamChoice::Impl::pick(const IndexList &From,
+                                        std::span<const UpstreamHandle> Avoid,
+                                        Instant Now) {
+  if (From.empty())
+    return nullptr;
+  ChoiceEntry *First = this->pickOne(From, Avoid);
+  if (!First || From.size() == 1)
+    return First;
+  ChoiceEntry *Second = this->pickOne(From, Avoid);
+  for (std::uint32_t Try = 1; Second == First && Try < PickTries; ++Try)
+    Second = this->pickOne(From, Avoid);
+  if (!Second || Second == First)
+    return First;
+  return Second->cost(Now) < First->cost(Now) ? Second : First;
+}
+
+ChoiceEntry *UpstreamChoice::Impl::find(UpstreamHandle Handle) {
+  std::uint32_t Index = indexOf(Handle);
+  if (Index >= this->Entries.size())
+    return nullptr;
+  ChoiceEntry &One = this->Entries[Index];
+  return One.Used && this->handleOf(One) == Handle ? &One : nullptr;
+}
+
+std::size_t UpstreamChoice::Impl::ejected(Instant Now) const {
+  return static_cast<std::size_t>(std::count_if(
+      this->Entries.begin(), this->Entries.end(), [&](const ChoiceEntry &One) {
+        return One.Used && One.Eligible && One.isEjected(Now);
+      }));
+}
+
+void UpstreamChoice::Impl::eject(ChoiceEntry &One, Share Most, Instant Now) {
+  if (!One.Eligible || One.isEjected(Now))
+    return;
+  std::size_t Already = this->ejected(Now);
+  auto Allowed = static_cast<std::size_t>(static_cast<double>(this->InService) *
+                                          Most.fraction());
+  if (Already + 1 > Allowed || Already + 1 >= this->InService)
+    return;
+  Duration For = this->Settings.FirstEjection *
+                 (1U << std::min(One.Ejections, MostDoublings));
+  For = std::min(For, this->Settings.LongestEjection);
+  // Up to a quarter more, so that candidates ejected together do not return
+  // together.
+  For += Duration(static_cast<Duration::rep>(
+      this->Random() % static_cast<std::uint64_t>(For.count() / 4 + 1)));
+  One.eject(Now + For);
+  this->rebuild(Now);
+}
+
+void UpstreamChoice::Impl::finish(UpstreamHandle Handle, AttemptResult Result,
+                                  Duration Latency, Instant Now) {
+  ChoiceEntry *One = this->find(Handle);
+  if (!One)
+    return;
+  One->end();
+  switch (Result) {
+  case AttemptResult::Success:
+    return One->addSuccess(Latency, Now);
+  case AttemptResult::ConnectRefused:
+    One->addFailure();
+    return this->eject(*One, this->Settings.MaxRefused, Now);
+  case AttemptResult::Failure:
+  case AttemptResult::Timeout: {
+    std::uint32_t Row = One->addFailure();
+    if (Row >= this->Settings.FailuresToEject || One->Probing)
+      this->eject(*One, this->Settings.MaxEjected, Now);
+    return;
+  }
+  case AttemptResult::Shed:
+  case AttemptResult::Leaving:
+    return One->addShed(Now);
+  case AttemptResult::Cancelled:
+    return;
+  }
+}
+
+UpstreamChoice::UpstreamChoice(std::unique_ptr<Impl> Body)
+    : Body(std::move(Body)) {}
+UpstreamChoice::UpstreamChoice(UpstreamChoice &&) noexcept = default;
+UpstreamChoice &UpstreamChoice::operator=(UpstreamChoice &&) noexcept = default;
+UpstreamChoice::~UpstreamChoice() = default;
+
+Result<UpstreamChoice>
+UpstreamChoice::create(const UpstreamChoiceSettings &Settings,
+                       RandomFunction Random) {
+  if (!Random)
+    return fail(ErrorCode::InvalidArgument,
+                "upstream choice needs a random function");
+  return UpstreamChoice(std::make_unique<Impl>(Settings, std::move(Random)));
+}
+
+void UpstreamChoice::setCandidates(const std::vector<UpstreamCandidate> &All,
+                                   const std::set<ZoneName> &OutOfService,
+                                   Instant Now) {
+  this->Body->setCandidates(All, OutOfService, Now);
+}
+
+std::optional<UpstreamHandle>
+UpstreamChoice::choose(Instant Now, std::span<const UpstreamHandle> Avoid) {
+  return this->Body->choose(Now, Avoid);
+}
+
+void UpstreamChoice::finish(UpstreamHandle Handle, AttemptResult Result,
+                            Duration Latency, Instant Now) {
+  this->Body->finish(Handle, Result, Latency, Now);
+}
+
+void UpstreamChoice::hintLoad(UpstreamHandle Handle, std::uint32_t InFlight,
+                              std::uint32_t Limit, Instant Now) {
+  if (ChoiceEntry *One = this->Body->find(Handle))
+    One->hint(InFlight, Limit, Now);
+}
+
+const UpstreamCandidate *UpstreamChoice::find(UpstreamHandle Handle) const {
+  const ChoiceEntry *One = this->Body->find(Handle);
+  return One ? &One->Candidate : nullptr;
+}
+
+bool UpstreamChoice::isEjected(UpstreamHandle Handle, Instant Now) const {
+  const ChoiceEntry *One = this->Body->find(Handle);
+  return One && One->isEjected(Now);
+}
+
+std::size_t UpstreamChoice::inService() const {
+  return this->Body->inService();
+}
+
+std::size_t UpstreamChoice::ejected(Instant Now) const {
+  return this->Body->ejected(Now);
+}
+
+} // namespace amaranthward
