--- a/bench/policy/meshentry.cpp
+++ b/bench/policy/meshentry.cpp
@@ -146,9 +146,13 @@
   Question.TimeLeft = Call->Call.Deadline - Now;
   bool Unlimited = this->Plan.Retries == RetryPolicy::Unlimited;
   Question.BudgetLeft = Unlimited || this->Budget.available();
-  if (retryDecision(Question).Action != RetryAction::Retry)
+  Question.Leaving = Result == AttemptResult::Leaving;
+  RetryAction Action = retryDecision(Question).Action;
+  if (Action == RetryAction::Stop)
     return Call->OnDone(Question.Outcome == AttemptOutcome::Answered);
-  if (!Unlimited)
+  if (Action == RetryAction::RetryElsewhere)
+    --Call->Attempts;
+  else if (!Unlimited)
     this->Budget.trySpend(Now);
   this->attempt(Call);
 }
--- a/src/libpolicy/choiceentry.h
+++ b/src/libpolicy/choiceentry.h
@@ -2,6 +2,7 @@
 #define AMARANTHWARD_LIBPOLICY_CHOICEENTRY_H
 
 #include "libpolicy/upstreamchoice.h"
+#include <algorithm>
 #include <cstdint>
 
 namespace amaranthward {
@@ -30,6 +31,10 @@
   /// Back in service: as unknown as a new candidate.
   void expectCold();
   bool isEjected(Instant Now) const { return Now < this->EjectedUntil; }
+  /// Not to be chosen before this time.
+  Instant awayUntil() const {
+    return std::max(this->EjectedUntil, this->LeavingUntil);
+  }
 
   UpstreamCandidate Candidate;
   std::uint32_t Generation = 0;
@@ -39,7 +44,9 @@
   std::uint32_t Ejections = 0;
   /// Was ejected and has not answered since.
   bool Probing = false;
-  Instant EjectedUntil;
+  Instant EjectedUntil = Instant::min();
+  /// Its gate refused because it is leaving.
+  Instant LeavingUntil = Instant::min();
 
 private:
   double limit(Instant Now) const;
--- a/src/libpolicy/retrydecision.cpp
+++ b/src/libpolicy/retrydecision.cpp
@@ -18,6 +18,8 @@
     return stop(StopReason::BodyGone);
   if (Question.TimeLeft < MinRetryTime)
     return stop(StopReason::NoTimeLeft);
+  if (!Failed && Question.Leaving)
+    return {RetryAction::RetryElsewhere, StopReason::None};
   if (Question.Attempts >= MaxAttempts)
     return stop(StopReason::TooManyAttempts);
   if (Failed && Question.UnprovenVersion && !Question.BaselineTried)
--- a/src/libpolicy/retrydecision.h
+++ b/src/libpolicy/retrydecision.h
@@ -27,6 +27,9 @@
   bool BaselineTried = false;
   /// The request body is still held and can be sent again.
   bool BodyHeld = true;
+  /// The attempt was refused because the upstream is leaving or its zone is
+  /// out of service. Such attempts do not count in \a Attempts.
+  bool Leaving = false;
   std::uint32_t Attempts = 1;
   Duration TimeLeft = Duration::zero();
   bool BudgetLeft = false;
@@ -37,6 +40,10 @@
   Stop,
   /// Send again to another upstream; takes one token of the budget.
   Retry,
+  /// Send again to another upstream; outside the budget. No work was done, and
+  /// the choice does not offer a leaving upstream again, so an entry gets at
+  /// most one such refusal per upstream and second.
+  RetryElsewhere,
   /// Send once to the baseline version; outside the budget.
   RetryOnBaseline,
 };
--- a/src/libpolicy/upstreamchoice.cpp
+++ b/src/libpolicy/upstreamchoice.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// A gate that said it is leaving is not chosen for this long. By then the
+/// member list usually says so, too; at a zone's return the gate may be late.
+constexpr Duration LeavingMemory = std::chrono::seconds(1);
 constexpr std::uint32_t PickTries = 4;
 constexpr std::uint32_t MostDoublings = 10;
 
@@ -115,6 +118,11 @@
 }
 
 void UpstreamChoice::Impl::rebuild(Instant Now) {
+  // Ejected and leaving together could be everyone; then all are tried.
+  bool Everyone = std::none_of(
+      this->Entries.begin(), this->Entries.end(), [&](const ChoiceEntry &One) {
+        return One.Used && One.Eligible && Now >= One.awayUntil();
+      });
   this->NextReturn = Instant::max();
   for (IndexList &List : this->Available)
     List.clear();
@@ -122,9 +130,10 @@
     ChoiceEntry &Entry = this->Entries[I];
     if (!Entry.Used || !Entry.Eligible)
       continue;
-    if (Entry.isEjected(Now))
-      this->NextReturn = std::min(this->NextReturn, Entry.EjectedUntil);
-    else
+    Instant Back = Entry.awayUntil();
+    if (Now < Back)
+      this->NextReturn = std::min(this->NextReturn, Back);
+    if (Now >= Back || Everyone)
       this->Available[this->tierOf(Entry.Candidate)].push_back(I);
   }
 }
@@ -247,8 +256,10 @@
     return;
   }
   case AttemptResult::Shed:
-  case AttemptResult::Leaving:
     return One->addShed(Now);
+  case AttemptResult::Leaving:
+    One->LeavingUntil = Now + LeavingMemory;
+    return this->rebuild(Now);
   case AttemptResult::Cancelled:
     return;
   }
