Let the ramp use the load variation of the traffic itself

Gates with little traffic (60 calls/s) stayed at a third of level 7 for 40 s and shed 111 bulk calls when their load doubled, because the low measurement held the limit down until it was complete. Low and full load are now sampled side by side, and the limit goes down only when the traffic gives no low samples. Full load is measured before and after a forced low step: in the wrong order, the warm-up between the two looked like an effect of load.

--- a/src/libpolicy/admissiongate.cpp
+++ b/src/libpolicy/admissiongate.cpp
@@ -217,8 +217,9 @@
   bool Failed = Result == UpstreamResult::Failure;
   double LogLatency = logMicros(Latency);
   if (!this->Ramp.isWarm())
-    this->Ramp.add({Call.Route, Call.InFlight, Call.RampStep, Failed,
-                    LogLatency,
+    this->Ramp.add({Call.Route, Call.InFlight,
+                    static_cast<std::uint32_t>(this->Calls.size()) + 1,
+                    Call.RampStep, Failed, LogLatency,
                     this->Baseline.expected(Call.Route, Call.InFlight)},
                    Now);
   this->Detector.addOutcome(Failed);
--- a/src/libpolicy/warmupramp.h
+++ b/src/libpolicy/warmupramp.h
@@ -10,8 +10,9 @@
 /// One completed call as the ramp sees it.
 struct RampSample {
   std::uint32_t Route = 0;
-  /// Running calls when it started, itself included.
+  /// Running calls when it started and when it ended, itself included.
   std::uint32_t InFlight = 1;
+  std::uint32_t InFlightAtEnd = 1;
   /// Value of step() when it started.
   std::uint64_t Step = 0;
   bool Failed = false;
@@ -22,9 +23,10 @@
 };
 
 /// Limit on concurrent calls of an upstream that may be cold. Starts at one
-/// call. Each level is measured at a third of the level and at the level; the
-/// next level follows only when the comparison shows no queueing, and no
-/// earlier than the declared warm-up time allows.
+/// call. Each level is measured under a third of the load and under full load
+/// (the limit goes down to a third for a moment when the traffic itself does
+/// not give both). The next level follows only when the comparison shows no
+/// queueing, and no earlier than the declared warm-up time allows.
 class WarmUpRamp {
 public:
   WarmUpRamp(std::uint32_t Slots, Duration WarmUp, Instant Now);
@@ -57,10 +59,11 @@
     double Expected = 0;
   };
 
-  bool isFull(const Window &One) const;
-  void beginStep(bool AtLow);
+  void put(Window &Into, const RampSample &Sample);
+  void beginStep();
   void beginLevel(Instant Now);
   void endStep(Instant Now);
+  std::uint32_t fullCalls() const;
   void raise(Instant Now);
   void lower(Instant Now);
   bool paceAllows(Instant Now) const;
@@ -79,10 +82,13 @@
   bool SettledOnce = false;
   std::uint32_t Level = 1;
   bool AtLow = false;
+  /// The limit was lowered in this step.
+  bool WasLow = false;
   bool Warm = false;
   std::uint64_t StepNumber = 0;
   Window Low;
   Window Full;
+  /// The last complete measurement under full load.
   Window Last;
   /// An earlier measurement at this level.
   Window Earlier;
