--- a/src/libpolicy/warmupramp.cpp
+++ b/src/libpolicy/warmupramp.cpp
@@ -9,15 +9,20 @@
 namespace {
 
 /// Calls in one measurement. With a log standard deviation of 0.4 the
-/// comparison of two is good to 8%.
-constexpr std::uint32_t WindowCalls = 48;
+/// comparison is good to 9%, and to 7% with what is carried over.
+constexpr std::uint32_t WindowCalls = 32;
 /// Calls count only when at least this part of the limit was in use.
 constexpr double LeastUse = 0.66;
 /// Growth of latency with the square of the load, as far as it is taken for
 /// the ordinary effect of load and not for queueing.
 constexpr double OrdinaryGrowth = 0.5;
+/// The same once the upstream has stopped warming up: then even strong growth
+/// is not a sign of a cold upstream.
+constexpr double SettledGrowth = 1.0;
 constexpr double Noise = 0.03;
 constexpr std::uint32_t MostFailures = 2;
+/// Part of a measurement that counts in the next one at the same level.
+constexpr double Carried = 0.5;
 /// Improvement below which the upstream no longer warms up, and the part of
 /// the warm-up time over which it is measured.
 constexpr double SettledChange = 0.05;
@@ -51,10 +56,10 @@
 void WarmUpRamp::restart(Instant Now) {
   this->Level = 1;
   this->Warm = false;
-  this->LevelSince = Now;
-  this->Earlier = Window();
+  this->Start = Now;
+  this->SettledOnce = false;
   this->Last = Window();
-  this->beginStep(false);
+  this->beginLevel(Now);
 }
 
 double WarmUpRamp::recent(std::uint32_t Route) const {
@@ -65,55 +70,95 @@
 }
 
 std::uint32_t WarmUpRamp::limit() const {
-  return this->AtHalf ? (this->Level + 1) / 2 : this->Level;
+  return this->AtLow ? this->lowLevel() : this->Level;
 }
 
-bool WarmUpRamp::isFull(const Window &One) const {
-  return One.Count >= WindowCalls;
+// When the limit went down for the low measurement, full load is measured
+// before and after it: the upstream became warmer meanwhile, which would
+// otherwise look like an effect of load.
+std::uint32_t WarmUpRamp::fullCalls() const {
+  return this->WasLow ? 2 * WindowCalls : WindowCalls;
 }
 
-void WarmUpRamp::beginStep(bool AtHalf) {
-  this->AtHalf = AtHalf && this->Level > 1;
+void WarmUpRamp::beginStep() {
+  this->AtLow = false;
+  this->WasLow = false;
   ++this->StepNumber;
-  (this->AtHalf ? this->Half : this->Full) = Window();
+  for (Window *Next : {&this->Low, &this->Full}) {
+    Next->Count = 0;
+    Next->Failures = 0;
+    Next->AboveExpected *= Carried;
+    Next->Expected *= Carried;
+    for (Sum &One : Next->ByRoute) {
+      One.Log *= Carried;
+      One.Count *= Carried;
+    }
+  }
+}
+
+void WarmUpRamp::beginLevel(Instant Now) {
+  this->LevelSince = Now;
+  this->Low = Window();
+  this->Full = Window();
+  this->Earlier = Window();
+  this->beginStep();
+}
+
+void WarmUpRamp::put(Window &Into, const RampSample &Sample) {
+  if (Sample.Route >= Into.ByRoute.size())
+    Into.ByRoute.resize(Sample.Route + 1);
+  Into.ByRoute[Sample.Route].Log += Sample.LogLatency;
+  ++Into.ByRoute[Sample.Route].Count;
+  ++Into.Count;
+  if (Sample.LogExpected > 0) {
+    Into.AboveExpected += Sample.LogLatency - Sample.LogExpected;
+    ++Into.Expected;
+  }
 }
 
 void WarmUpRamp::add(const RampSample &Sample, Instant Now) {
   if (this->Warm)
     return;
-  Window &Here = this->AtHalf ? this->Half : this->Full;
   if (Sample.Failed) {
-    if (++Here.Failures > MostFailures)
+    if (++this->Full.Failures > MostFailures)
       this->lower(Now);
     return;
   }
-  if (Sample.Step != this->StepNumber ||
-      Sample.InFlight < LeastUse * this->limit())
+  if (Sample.Step != this->StepNumber)
+    return;
+  std::uint32_t Least = std::min(Sample.InFlight, Sample.InFlightAtEnd);
+  std::uint32_t Most = std::max(Sample.InFlight, Sample.InFlightAtEnd);
+  std::uint32_t LowLevel = this->lowLevel();
+  if (Least >= LeastUse * this->Level)
+    this->put(this->Full, Sample);
+  else if (Most <= LowLevel && Least >= LeastUse * LowLevel)
+    this->put(this->Low, Sample);
+  bool LowDone = this->Level == 1 || this->Low.Count >= WindowCalls;
+  if (this->AtLow && LowDone)
+    this->AtLow = false;
+  if (this->AtLow || this->Full.Count < this->fullCalls())
+    return;
+  if (!this->paceAllows(Now)) {
+    this->Last = this->Full;
+    this->beginStep();
     return;
-  if (Sample.Route >= Here.ByRoute.size())
-    Here.ByRoute.resize(Sample.Route + 1);
-  Here.ByRoute[Sample.Route].Log += Sample.LogLatency;
-  ++Here.ByRoute[Sample.Route].Count;
-  ++Here.Count;
-  if (Sample.LogExpected > 0) {
-    Here.AboveExpected += Sample.LogLatency - Sample.LogExpected;
-    ++Here.Expected;
   }
-  if (this->isFull(Here))
-    this->endStep(Now);
+  if (LowDone)
+    return this->endStep(Now);
+  this->AtLow = true;
+  this->WasLow = true;
 }
 
 void WarmUpRamp::endStep(Instant Now) {
-  this->Last = this->AtHalf ? this->Half : this->Full;
-  if (this->AtHalf) {
-    this->beginStep(false);
-    return;
-  }
-  bool Ready = this->latencyAllows() || this->isSettled(Now);
-  if (Ready && this->paceAllows(Now))
+  this->Last = this->Full;
+  bool Settled = this->isSettled(Now);
+  bool Ready = Settled || (this->baselineKnown() ? this->baselineAllows()
+                                                 : this->trendAllows(Now) &&
+                                                       this->latencyAllows());
+  if (Ready)
     this->raise(Now);
   else
-    this->beginStep(true);
+    this->beginStep();
 }
 
 // The first step gets twice the time: at one call there is nothing to compare
@@ -125,25 +170,38 @@
   return Now - this->LevelSince >= Needed;
 }
 
+bool WarmUpRamp::baselineKnown() const {
+  return this->Full.Expected >= WindowCalls / 2.0;
+}
+
+// Slower per call and fewer calls at a time both show in the latency, so the
+// capacity is taken to fall with its square.
+bool WarmUpRamp::baselineAllows() const {
+  double Above = this->Full.AboveExpected / this->Full.Expected - Noise;
+  if (Above <= 0)
+    return true;
+  return this->Slots * std::exp(-2 * Above) >= this->Level + 1 &&
+         this->latencyAllows();
+}
+
+// A latency that still improves after twice the declared time shows that the
+// declaration is too short, so it is no longer a protection.
+bool WarmUpRamp::trendAllows(Instant Now) const {
+  return Now - this->Start < this->WarmUp * 2 || this->SettledOnce;
+}
+
 bool WarmUpRamp::latencyAllows() const {
-  if (this->Full.Expected >= WindowCalls / 2) {
-    // Slower per call and fewer calls at a time both show in the latency, so
-    // the capacity is taken to fall with its square.
-    double Above =
-        std::max(0.0, this->Full.AboveExpected / this->Full.Expected - Noise);
-    return this->Slots * std::exp(-2 * Above) >= this->Level + 1 ||
-           Above <= Noise;
-  }
   if (this->Level == 1)
     return true;
   std::optional<double> Growth =
-      difference(this->Full.ByRoute, this->Half.ByRoute);
+      difference(this->Full.ByRoute, this->Low.ByRoute);
   if (!Growth)
     return false;
-  double AtFull = static_cast<double>(this->Level) / this->Slots;
-  double AtHalf = (this->Level + 1) / 2 / static_cast<double>(this->Slots);
-  double Ordinary = std::log1p(OrdinaryGrowth * AtFull * AtFull) -
-                    std::log1p(OrdinaryGrowth * AtHalf * AtHalf);
+  double High = static_cast<double>(this->Level) / this->Slots;
+  double Low = static_cast<double>(this->lowLevel()) / this->Slots;
+  double Usual = this->SettledOnce ? SettledGrowth : OrdinaryGrowth;
+  double Ordinary =
+      std::log1p(Usual * High * High) - std::log1p(Usual * Low * Low);
   return *Growth <= Ordinary + Noise;
 }
 
@@ -159,27 +217,26 @@
       difference(this->Full.ByRoute, this->Earlier.ByRoute);
   this->Earlier = this->Full;
   this->EarlierAt = Now;
-  return Change && *Change > -SettledChange && this->Full.Failures == 0;
+  bool Settled = Change && *Change > -SettledChange && this->Full.Failures == 0;
+  if (Settled && Now - this->Start >= this->WarmUp)
+    this->SettledOnce = true;
+  return Settled;
 }
 
 void WarmUpRamp::raise(Instant Now) {
-  this->LevelSince = Now;
-  this->Earlier = Window();
   if (this->Level == this->Slots) {
     this->Warm = true;
-    this->AtHalf = false;
+    this->AtLow = false;
     ++this->StepNumber;
     return;
   }
   ++this->Level;
-  this->beginStep(true);
+  this->beginLevel(Now);
 }
 
 void WarmUpRamp::lower(Instant Now) {
   this->Level = std::max(1U, this->Level / 2);
-  this->LevelSince = Now;
-  this->Earlier = Window();
-  this->beginStep(true);
+  this->beginLevel(Now);
 }
 
 } // namespace amaranthward
