--- a/src/libcontrol/controlqueries.cpp
+++ b/src/libcontrol/controlqueries.cpp
@@ -40,11 +40,27 @@
           {"everywhere", Everywhere}};
 }
 
+Json describeReplicas(const Json &Consensus) {
+  Json List = Json::array();
+  List.push_back({{"name", textAt(Consensus, "name")},
+                  {"role", "leader"},
+                  {"live", true},
+                  {"match", numberAt(Consensus, "last")}});
+  const Json Peers = Consensus.value("peers", Json::object());
+  for (const auto &[Identity, Peer] : Peers.items()) {
+    const char *Role = boolAt(Peer, "voter") ? "voter" : "learner";
+    List.push_back({{"name", textAt(Peer, "name")},
+                    {"role", Role},
+                    {"live", boolAt(Peer, "live")},
+                    {"match", numberAt(Peer, "match")}});
+  }
+  return List;
+}
+
 } // namespace
 
 Json ControlService::status() const {
   const ControlData &Data = this->State.data();
-  Json Consensus = this->Replica->status();
   Json Out = {{"replica", this->ReplicaNameText},
               {"role", this->isLeader() ? "leader" : "follower"},
               {"leader", this->leader().str()},
@@ -54,7 +70,7 @@
               {"digest", ""},
               {"in_force", describeInForce(this->inForce(), Data.Changed)},
               {"members_complete", this->Sessions->complete(this->Hooks.Now())},
-              {"replicas", Consensus.value("replicas", Json::array())},
+              {"replicas", describeReplicas(this->Replica->status())},
               {"moves", Json::array()},
               {"services", Json::array()},
               {"zones", Json::array()}};
