--- a/bench/policy/movesession.cpp
+++ b/bench/policy/movesession.cpp
@@ -93,8 +93,8 @@
     if (this->Now.count() % DecisionInterval.count() == 0)
       this->decide();
   }
-  auto Largest = std::max_element(this->BadByRoute.begin(),
-                                  this->BadByRoute.end());
+  auto Largest =
+      std::max_element(this->BadByRoute.begin(), this->BadByRoute.end());
   auto Route = Largest - this->BadByRoute.begin();
   this->Result.BadBefore =
       this->Decided ? this->BadAtDecision[Route] : *Largest;
@@ -125,8 +125,8 @@
 }
 
 void MoveSession::serveCalls() {
-  double PerTick = this->Of.CallsPerSecond *
-                   std::chrono::duration<double>(Tick).count();
+  double PerTick =
+      this->Of.CallsPerSecond * std::chrono::duration<double>(Tick).count();
   std::uint64_t Calls = this->Numbers.poisson(PerTick);
   for (std::uint64_t Call = 0; Call < Calls; ++Call)
     this->serveCall(this->Numbers.next() % this->Nodes.size());
@@ -266,8 +266,7 @@
   this->apply(Decision);
 }
 
-MoveInputs
-MoveSession::inputs(const std::map<RouteName, RouteTotals> &Totals) {
+MoveInputs MoveSession::inputs(const std::map<RouteName, RouteTotals> &Totals) {
   MoveInputs In;
   In.Now = this->wall();
   In.Verdict = this->Kind == Policy::FixedThresholds
@@ -323,8 +322,8 @@
   const AnalysisVerdict &Verdict =
       this->Shadow->step(Instant(this->Now), this->trueTotals());
   if (Verdict.Kind == Judgement::Bad || Verdict.Kind == Judgement::Suspect)
-    this->Result.BadUntilEvidence = *std::max_element(
-        this->BadByRoute.begin(), this->BadByRoute.end());
+    this->Result.BadUntilEvidence =
+        *std::max_element(this->BadByRoute.begin(), this->BadByRoute.end());
 }
 
 std::map<RouteName, RouteTotals> MoveSession::leaderTotals() const {
@@ -369,18 +368,18 @@
     return;
   char Line[200];
   const MoveState &At = *this->State;
-  std::snprintf(Line, sizeof(Line),
-                "%6.1fs %-9s %-5s %-10s candidate=%-5u calls=%llu reason=%s",
-                std::chrono::duration<double>(this->Now).count(), What,
-                At.Id.c_str(), toString(At.Phase),
-                At.shareOf(SessionNode::candidate()).parts(),
-                static_cast<unsigned long long>(At.Evidence.Calls),
-                toString(At.Reason));
+  std::snprintf(
+      Line, sizeof(Line),
+      "%6.1fs %-9s %-5s %-10s candidate=%-5u calls=%llu reason=%s",
+      std::chrono::duration<double>(this->Now).count(), What, At.Id.c_str(),
+      toString(At.Phase), At.shareOf(SessionNode::candidate()).parts(),
+      static_cast<unsigned long long>(At.Evidence.Calls), toString(At.Reason));
   this->Trace(Line);
 }
 
-SessionResult runSession(const Scenario &Of, Policy Kind, std::uint64_t Seed,
-                         const std::function<void(const std::string &)> &Trace) {
+SessionResult
+runSession(const Scenario &Of, Policy Kind, std::uint64_t Seed,
+           const std::function<void(const std::string &)> &Trace) {
   return MoveSession(Of, Kind, Seed, Trace).run();
 }
 
--- a/src/amaranthward/moveobserver.cpp
+++ b/src/amaranthward/moveobserver.cpp
@@ -40,10 +40,12 @@
 
 void MoveObserver::update(const RoutingView &View) {
   for (auto Entry = this->Watches.begin(); Entry != this->Watches.end();) {
-    if (View.openMove(Entry->first))
+    if (View.openMove(Entry->first)) {
       ++Entry;
-    else
-      Entry = this->Watches.erase(Entry);
+      continue;
+    }
+    this->lift(Entry->first, Entry->second);
+    Entry = this->Watches.erase(Entry);
   }
   for (const auto &[Service, Spec] : View.services()) {
     if (const Json *Move = View.openMove(Service))
@@ -55,6 +57,7 @@
                          const RoutingView &View) {
   Watch &Of = this->Watches[Service];
   if (Of.MoveId != textAt(Move, "id")) {
+    this->lift(Service, Of);
     Of = Watch();
     Of.MoveId = textAt(Move, "id");
     Of.Candidate = VersionName(textAt(Move, "candidate"));
@@ -68,12 +71,12 @@
                       shareIn(View.split(Service), Of.Candidate));
 }
 
-void MoveObserver::record(const AttemptRecord &Attempt) {
+void MoveObserver::record(const AttemptReport &Attempt) {
   auto Found = this->Watches.find(Attempt.Service);
   if (Found == this->Watches.end())
     return;
   Found->second.Counters[{Attempt.Version, Attempt.Route}].count(
-      Attempt.Failed, Attempt.Latency);
+      !Attempt.Ok, Attempt.Latency);
 }
 
 bool MoveObserver::step(Instant Now) {
@@ -98,16 +101,21 @@
   return Fell;
 }
 
-std::optional<Share>
-MoveObserver::reducedShare(const ServiceName &Service,
-                           const VersionName &Version) const {
-  auto Found = this->Watches.find(Service);
-  if (Found == this->Watches.end() || Found->second.Candidate != Version)
-    return std::nullopt;
-  const std::optional<LocalReflex> &Reflex = Found->second.Reflex;
-  if (!Reflex || !Reflex->reduced())
-    return std::nullopt;
-  return Reflex->share();
+void MoveObserver::lift(const ServiceName &Service, const Watch &Of) {
+  if (!Of.Candidate.empty())
+    this->Lifted.push_back({Service, Of.Candidate, Share::all()});
+}
+
+std::vector<ShareBound> MoveObserver::bounds() {
+  std::vector<ShareBound> Bounds = std::move(this->Lifted);
+  this->Lifted.clear();
+  for (const auto &[Service, Of] : this->Watches) {
+    if (!Of.Reflex)
+      continue;
+    Share Largest = Of.Reflex->reduced() ? Of.Reflex->share() : Share::all();
+    Bounds.push_back({Service, Of.Candidate, Largest});
+  }
+  return Bounds;
 }
 
 std::optional<Json> MoveObserver::report() const {
--- a/src/amaranthward/moveobserver.h
+++ b/src/amaranthward/moveobserver.h
@@ -4,19 +4,18 @@
 #include "libconfig/routingview.h"
 #include "libpolicy/localreflex.h"
 #include "libpolicy/observation.h"
+#include "libproxy/entrycontext.h"
 #include <map>
 #include <optional>
 #include <string>
 
 namespace amaranthward {
 
-/// One finished attempt at an upstream, as the entry role saw it.
-struct AttemptRecord {
+/// Largest share that this node uses for a version.
+struct ShareBound {
   ServiceName Service;
   VersionName Version;
-  RouteName Route;
-  bool Failed = false;
-  Duration Latency = Duration::zero();
+  Share Largest;
 };
 
 /// Counts this node's calls while moves are open: for the leader's decisions,
@@ -27,13 +26,13 @@
 
   /// Starts and ends counting as moves open and close.
   void update(const RoutingView &View);
-  void record(const AttemptRecord &Attempt);
+  void record(const AttemptReport &Attempt);
   /// Evaluates this node's own evidence. Returns whether a share fell.
   bool step(Instant Now);
 
-  /// The share that this node uses for a version, where it has reduced it.
-  std::optional<Share> reducedShare(const ServiceName &Service,
-                                    const VersionName &Version) const;
+  /// Bounds on the candidates of all open moves, and of those that closed
+  /// since the last call; Share::all() is no bound.
+  std::vector<ShareBound> bounds();
   /// Cumulative counters of all open moves; none when no move is open.
   std::optional<Json> report() const;
   Json dump() const;
@@ -54,10 +53,12 @@
       : Self(std::move(Self)), Start(Start) {}
   void watch(const ServiceName &Service, const Json &Move,
              const RoutingView &View);
+  void lift(const ServiceName &Service, const Watch &Of);
 
   NodeName Self;
   Incarnation Start;
   std::map<ServiceName, Watch> Watches;
+  std::vector<ShareBound> Lifted;
 };
 
 } // namespace amaranthward
--- a/src/amaranthward/nodeprocess.cpp
+++ b/src/amaranthward/nodeprocess.cpp
@@ -4,10 +4,25 @@
 
 namespace amaranthward {
 
+namespace {
+
+constexpr std::size_t MaxCallerConnections = 4096;
+constexpr std::size_t MaxPeerConnections = 8192;
+
+// Numbers below 2^53 stay exact in every JSON reader.
+Incarnation drawIncarnation() { return Incarnation(systemRandom()() >> 11); }
+
+} // namespace
+
 Result<std::unique_ptr<NodeProcess>>
 NodeProcess::create(EventLoop &Loop, NodeSettings Settings) {
-  std::unique_ptr<NodeProcess> Process(
-      new NodeProcess(Loop, std::move(Settings)));
+  NodeIdentity Identity{Settings.Name, drawIncarnation(), Settings.Zone,
+                        Settings.Region};
+  auto Observer = MoveObserver::create(Identity.Node, Identity.Start);
+  if (!Observer)
+    return tl::make_unexpected(Observer.error());
+  std::unique_ptr<NodeProcess> Process(new NodeProcess(
+      Loop, std::move(Settings), std::move(Identity), std::move(*Observer)));
   if (auto Started = Process->start(); !Started)
     return tl::make_unexpected(Started.error());
   return Process;
@@ -18,40 +33,237 @@
   if (!ClientMade)
     return tl::make_unexpected(ClientMade.error());
   this->Client = std::move(*ClientMade);
-  Incarnation Start(systemRandom()() >> 11);
   NodeDistribution::Hooks Hooks;
-  Hooks.OnChanged = [] {};
-  auto Made =
-      NodeDistribution::create(this->Loop, *this->Client, this->Registry,
-                               this->Settings, Start, std::move(Hooks));
+  Hooks.OnChanged = [this] { this->onStateChanged(); };
+  auto Made = NodeDistribution::create(this->Loop, *this->Client,
+                                       this->Registry, this->Settings,
+                                       this->Identity.Start, std::move(Hooks));
   if (!Made)
     return tl::make_unexpected(Made.error());
   this->Distribution = std::move(*Made);
+  if (auto Roles = this->createRoles(); !Roles)
+    return Roles;
   this->Distribution->addPeerRoutes(this->PeerRouter);
-  this->LocalRouter.get("/v1/dump", [this](auto Exchange) {
-    respondJson(*Exchange, 200,
-                {{"distribution", this->Distribution->dump()},
-                 {"metrics", this->Registry.toJson()}});
-  });
-  auto Peers = HttpServer::create(
-      this->Loop, this->Settings.PeerListen, {},
-      [this](auto Exchange) { this->PeerRouter.handle(Exchange); });
-  if (!Peers)
-    return tl::make_unexpected(Peers.error());
-  this->PeerServer = std::move(*Peers);
-  auto Local = HttpServer::create(
-      this->Loop, this->Settings.LocalListen, {},
-      [this](auto Exchange) { this->LocalRouter.handle(Exchange); });
-  if (!Local)
-    return tl::make_unexpected(Local.error());
-  this->LocalServer = std::move(*Local);
+  this->addLocalRoutes();
+  if (auto Listening = this->listen(); !Listening)
+    return Listening;
   this->Loop.every(TickInterval, [this] { this->tick(); });
   this->Distribution->start();
+  logFor("node")->info("Node {} serves callers on {}.",
+                       this->Settings.Name.str(),
+                       this->CallerServer->address().str());
+  return {};
+}
+
+Result<void> NodeProcess::createRoles() {
+  EntryOptions EntrySettings;
+  EntrySettings.Self = this->Identity;
+  EntryHooks Hooks;
+  Hooks.OnAttempt = [this](const AttemptReport &Attempt) {
+    this->Observed = true;
+    this->Observer.record(Attempt);
+  };
+  auto EntryMade = EntryRole::create(this->Loop, *this->Client,
+                                     std::move(EntrySettings), Hooks);
+  if (!EntryMade)
+    return tl::make_unexpected(EntryMade.error());
+  this->Entry = std::move(*EntryMade);
+
+  GateOptions GateSettings;
+  GateSettings.Self = this->Identity;
+  GateHooks OnGate;
+  OnGate.OnUpstream =
+      [this](const std::optional<UpstreamAnnouncement> &Upstream) {
+        this->onUpstream(Upstream);
+      };
+  auto GateMade =
+      GateRole::create(this->Loop, *this->Client, GateSettings, OnGate);
+  if (!GateMade)
+    return tl::make_unexpected(GateMade.error());
+  this->Gate = std::move(*GateMade);
   return {};
 }
 
-void NodeProcess::tick() { this->Distribution->tick(); }
+Result<void> NodeProcess::listen() {
+  struct Listener {
+    std::unique_ptr<HttpServer> &Server;
+    const Endpoint &Address;
+    std::size_t MaxConnections;
+    HttpServer::Handler OnRequest;
+  };
+  Listener All[] = {
+      {this->CallerServer, this->Settings.Listen, MaxCallerConnections,
+       [this](auto Exchange) { this->serveCaller(Exchange); }},
+      {this->PeerServer, this->Settings.PeerListen, MaxPeerConnections,
+       [this](auto Exchange) { this->servePeer(Exchange); }},
+      {this->LocalServer, this->Settings.LocalListen,
+       HttpServerLimits().MaxConnections,
+       [this](auto Exchange) { this->LocalRouter.handle(Exchange); }}};
+  for (Listener &One : All) {
+    HttpServerLimits Limits;
+    Limits.MaxConnections = One.MaxConnections;
+    auto Made =
+        HttpServer::create(this->Loop, One.Address, Limits, One.OnRequest);
+    if (!Made)
+      return tl::make_unexpected(Made.error());
+    One.Server = std::move(*Made);
+  }
+  return {};
+}
+
+void NodeProcess::addLocalRoutes() {
+  this->LocalRouter.post(
+      "/v1/announce", MaxJsonBodyBytes,
+      [this](auto Exchange, const std::string &Body) {
+        auto Value = parseJson(Body);
+        if (!Value)
+          return respondError(*Exchange, 400, Value.error().Message);
+        auto Said = UpstreamAnnouncement::parse(*Value);
+        if (!Said)
+          return respondError(*Exchange, 400, Said.error().Message);
+        this->Gate->announce(*Said);
+        respond(*Exchange, 204, "", "");
+      });
+  this->LocalRouter.get("/v1/dump", [this](auto Exchange) {
+    this->updateGauges();
+    respondJson(*Exchange, 200, this->dump());
+  });
+  this->LocalRouter.get("/metrics", [this](auto Exchange) {
+    this->updateGauges();
+    respond(*Exchange, 200, Metrics::TextMediaType, this->Registry.toText());
+  });
+}
+
+void NodeProcess::serveCaller(std::shared_ptr<ServerExchange> Exchange) {
+  if (this->Distribution->mayServe())
+    return this->Entry->handle(Exchange);
+  HttpHeaders Headers;
+  Headers.add("Amaranth-Outcome", "not-run");
+  Headers.add("Amaranth-Reason", "no-safe-revision");
+  respondError(*Exchange, 503, this->Distribution->waitReason(),
+               std::move(Headers));
+}
+
+void NodeProcess::servePeer(std::shared_ptr<ServerExchange> Exchange) {
+  if (Exchange->request().Headers.has("Amaranth-Request-Id"))
+    this->Gate->handle(Exchange);
+  else
+    this->PeerRouter.handle(Exchange);
+}
+
+void NodeProcess::onStateChanged() {
+  ProxyState State;
+  State.View = this->Distribution->view();
+  State.Applied = this->Distribution->inForce();
+  State.Members = this->Distribution->members();
+  this->Entry->update(State);
+  this->Gate->update(State);
+  if (State.View)
+    this->Observer.update(*State.View);
+  this->observe();
+}
+
+void NodeProcess::onUpstream(
+    const std::optional<UpstreamAnnouncement> &Upstream) {
+  Member Self = this->Distribution->self();
+  Self.Service = Upstream ? Upstream->Service : ServiceName();
+  Self.Version = Upstream ? Upstream->Version : VersionName();
+  Self.Slots = Upstream ? Upstream->Slots : 0;
+  Self.Connections = Upstream ? Upstream->Connections : 0;
+  Self.Leaving =
+      this->Stopping != StopPhase::Running || (Upstream && Upstream->Leaving);
+  this->Distribution->announce(Self);
+}
+
+void NodeProcess::tick() {
+  this->Distribution->tick();
+  if (this->Loop.now() >= this->NextObservation)
+    this->observe();
+  if (this->Stopping != StopPhase::Running)
+    this->continueStop();
+}
 
-void NodeProcess::beginStop() { this->Loop.stop(); }
+void NodeProcess::observe() {
+  this->NextObservation = this->Loop.now() + ObserveInterval;
+  this->Observer.step(this->Loop.now());
+  for (const ShareBound &Bound : this->Observer.bounds())
+    this->Entry->limitShare(Bound.Service, Bound.Version, Bound.Largest);
+  if (this->Observed)
+    this->Distribution->observe(this->Observer.report());
+  this->Observed = false;
+}
+
+void NodeProcess::beginStop() {
+  if (this->Stopping != StopPhase::Running)
+    return;
+  logFor("node")->info("A planned stop begins.");
+  this->Stopping = StopPhase::Leaving;
+  this->PhaseEnds = this->Loop.now() + LeaveTime;
+  this->onUpstream(this->Gate->upstream());
+}
+
+void NodeProcess::continueStop() {
+  Instant Now = this->Loop.now();
+  switch (this->Stopping) {
+  case StopPhase::Running:
+    return;
+  case StopPhase::Leaving:
+    if (!this->LeftAt && this->Distribution->announced())
+      this->LeftAt = Now;
+    if (Now < this->PhaseEnds &&
+        !(this->LeftAt && Now >= *this->LeftAt + LeaveMargin))
+      return;
+    this->Gate->drain();
+    this->CallerServer->drain();
+    this->Stopping = StopPhase::Draining;
+    this->PhaseEnds = Now + DrainTime;
+    return;
+  case StopPhase::Draining:
+    if (Now<this->PhaseEnds &&this->Gate->underWay() +
+            this->Entry->underWay()> 0)
+      return;
+    this->Distribution->leave();
+    this->Stopping = StopPhase::Ending;
+    this->PhaseEnds = Now + FarewellTime;
+    return;
+  case StopPhase::Ending:
+    if (Now >= this->PhaseEnds)
+      this->Loop.stop();
+    return;
+  }
+}
+
+Json NodeProcess::dump() const {
+  return {{"node", this->Settings.Name.str()},
+          {"zone", this->Settings.Zone.str()},
+          {"incarnation", this->Identity.Start.value()},
+          {"distribution", this->Distribution->dump()},
+          {"entry", this->Entry->dump()},
+          {"gate", this->Gate->dump()},
+          {"moves", this->Observer.dump()},
+          {"metrics", this->Registry.toJson()}};
+}
+
+void NodeProcess::updateGauges() {
+  const EntryCounters &Calls = this->Entry->counters();
+  this->Registry.counter("calls_total") = Calls.Calls;
+  this->Registry.counter("attempts_total") = Calls.Attempts;
+  this->Registry.counter("retries_total") = Calls.Retries;
+  this->Registry.counter("baseline_retries_total") = Calls.BaselineRetries;
+  this->Registry.counter("call_outcomes_total{outcome=\"answered\"}") =
+      Calls.Answered;
+  this->Registry.counter("call_outcomes_total{outcome=\"not-run\"}") =
+      Calls.NotRun;
+  this->Registry.counter("call_outcomes_total{outcome=\"unknown\"}") =
+      Calls.Unknown;
+  this->Registry.gauge("entry_under_way") =
+      static_cast<double>(this->Entry->underWay());
+  this->Registry.gauge("gate_under_way") =
+      static_cast<double>(this->Gate->underWay());
+  this->Registry.gauge("revision_in_force") =
+      static_cast<double>(this->Distribution->inForce().value());
+  this->Registry.gauge("longest_loop_pause_seconds") =
+      std::chrono::duration<double>(this->Loop.longestPause()).count();
+}
 
 } // namespace amaranthward
