--- a/src/libnet/bodydecoder.cpp
+++ b/src/libnet/bodydecoder.cpp
@@ -93,12 +93,16 @@
 }
 
 BodyDecoder::Step BodyDecoder::decodeDataEnd(std::string_view Input) {
-  if (!Input.empty() && Input[0] != '\r')
+  constexpr std::string_view Expected = "\r\n";
+  std::string_view Got = Input.substr(0, Expected.size());
+  if (!Expected.starts_with(Got)) {
     this->Current = State::Failed;
-  if (Input.size() < 2)
     return {};
-  this->Current = Input[1] == '\n' ? State::Size : State::Failed;
-  return {this->failed() ? std::size_t(0) : std::size_t(2), {}};
+  }
+  if (Got.size() < Expected.size())
+    return {};
+  this->Current = State::Size;
+  return {Expected.size(), {}};
 }
 
 BodyDecoder::Step BodyDecoder::decodeTrailer(std::string_view Input) {
--- a/src/libnet/clientconnection.cpp
+++ b/src/libnet/clientconnection.cpp
@@ -5,8 +5,8 @@
 namespace {
 
 /// Unread response bytes beyond this stop reading while nobody takes them.
-constexpr std::size_t MaxUnread = 16 * 1024;
-constexpr std::size_t KeptCapacity = 32 * 1024;
+constexpr std::size_t MaxUnread = 16UL * 1024;
+constexpr std::size_t KeptCapacity = 32UL * 1024;
 
 class Exchange final : public ClientExchange {
 public:
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -47,7 +47,7 @@
   /// Idle connections are closed after this time.
   Duration IdleTimeout = std::chrono::seconds(15);
   std::size_t MaxIdlePerAddress = 32;
-  std::size_t MaxHeaderBytes = 16 * 1024;
+  std::size_t MaxHeaderBytes = 16UL * 1024;
 };
 
 struct HttpResponse {
--- a/src/libnet/httpserver.cpp
+++ b/src/libnet/httpserver.cpp
@@ -83,7 +83,7 @@
       Poco::Net::StreamSocket Socket = this->Listener.acceptConnection(Peer);
       if (this->Open.size() >= this->Limits.MaxConnections)
         return;
-      auto Made = ServerConnection::create(this->Loop, std::move(Socket),
+      auto Made = ServerConnection::create(this->Loop, Socket,
                                            Endpoint(Peer.toString()),
                                            this->Limits, this->Shared);
       this->Open.emplace(Made.get(), Made);
--- a/src/libnet/httpserver.h
+++ b/src/libnet/httpserver.h
@@ -46,9 +46,10 @@
 };
 
 struct HttpServerLimits {
-  std::size_t MaxHeaderBytes = 16 * 1024;
+  std::size_t MaxHeaderBytes = 16UL * 1024;
   std::size_t MaxConnections = 1024;
   Duration HeaderTimeout = std::chrono::seconds(10);
+  /// Without a request, and without a byte of a body that is being read.
   Duration IdleTimeout = std::chrono::seconds(60);
 };
 
--- a/src/libnet/messagehead.cpp
+++ b/src/libnet/messagehead.cpp
@@ -286,9 +286,8 @@
       static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Head.Status)));
   Text.append(LineEnd);
   appendFields(Text, Head.Headers);
-  if (!bodyless(Head.Status, HeadRequest))
-    appendFraming(Text, Head.BodyLength);
-  else if (Head.Status >= 200 && Head.Status != 204 && Head.BodyLength)
+  bool LengthAllowed = Head.Status >= 200 && Head.Status != 204;
+  if (!bodyless(Head.Status, HeadRequest) || (LengthAllowed && Head.BodyLength))
     appendFraming(Text, Head.BodyLength);
   if (Close && !connectionHas(Head.Headers, "close"))
     Text.append("Connection: close\r\n");
--- a/src/libnet/serverconnection.cpp
+++ b/src/libnet/serverconnection.cpp
@@ -6,11 +6,11 @@
 namespace {
 
 /// Unread bytes beyond this stop reading while nobody takes them.
-constexpr std::size_t MaxUnread = 16 * 1024;
+constexpr std::size_t MaxUnread = 16UL * 1024;
 /// How long a refused peer may go on sending before the connection closes;
 /// closing at once would reset it before it has read the response.
 constexpr Duration Linger = std::chrono::seconds(1);
-constexpr std::size_t KeptCapacity = 32 * 1024;
+constexpr std::size_t KeptCapacity = 32UL * 1024;
 
 class Exchange final : public ServerExchange {
 public:
@@ -76,7 +76,7 @@
       Server(std::move(Server)), PhaseStart(Loop.now()) {}
 
 std::shared_ptr<ServerConnection>
-ServerConnection::create(EventLoop &Loop, Poco::Net::StreamSocket Socket,
+ServerConnection::create(EventLoop &Loop, const Poco::Net::StreamSocket &Socket,
                          Endpoint Peer, const HttpServerLimits &Limits,
                          std::shared_ptr<const Owner> Server) {
   std::shared_ptr<ServerConnection> Made(
@@ -95,8 +95,7 @@
     if (auto Kept = Self.lock())
       Kept->onDrained();
   };
-  Made->Stream =
-      StreamConnection::accept(Loop, std::move(Socket), std::move(Hooks));
+  Made->Stream = StreamConnection::accept(Loop, Socket, std::move(Hooks));
   return Made;
 }
 
@@ -119,6 +118,12 @@
       this->close();
     else if (!Waiting && Spent > this->Limits.HeaderTimeout)
       this->refuse(408, "the request head took too long");
+  } else if (this->Phase == State::Body && this->Callbacks &&
+             !this->BodyPaused && Spent > this->Limits.IdleTimeout) {
+    auto Kept = this->Callbacks;
+    this->refuse(408, "the request body stopped");
+    if (Kept->OnAborted)
+      Kept->OnAborted();
   }
 }
 
@@ -135,7 +140,7 @@
 void ServerConnection::onData(std::string_view Data) {
   if (this->Phase == State::Closing || this->Phase == State::Closed)
     return;
-  if (this->idle())
+  if (this->idle() || this->Phase == State::Body)
     this->PhaseStart = this->Loop.now();
   this->In.append(Data);
   this->pump();
@@ -281,6 +286,7 @@
 
 void ServerConnection::pauseBody(bool Paused) {
   this->BodyPaused = Paused;
+  this->PhaseStart = this->Loop.now();
   if (!Paused && !this->Pumping)
     this->Loop.post([Self = this->shared_from_this()] { Self->pump(); });
   else
--- a/src/libnet/serverconnection.h
+++ b/src/libnet/serverconnection.h
@@ -21,7 +21,7 @@
   };
 
   static std::shared_ptr<ServerConnection>
-  create(EventLoop &Loop, Poco::Net::StreamSocket Socket, Endpoint Peer,
+  create(EventLoop &Loop, const Poco::Net::StreamSocket &Socket, Endpoint Peer,
          const HttpServerLimits &Limits, std::shared_ptr<const Owner> Server);
 
   /// Closes the connection when its current phase took too long.
--- a/src/libnet/streamconnection.cpp
+++ b/src/libnet/streamconnection.cpp
@@ -1,13 +1,14 @@
 #include "libnet/streamconnection.h"
 #include <Poco/Exception.h>
 #include <array>
+#include <cerrno>
 #include <sys/socket.h>
 
 namespace amaranthward {
 
 namespace {
 
-constexpr std::size_t ReadSize = 64 * 1024;
+constexpr std::size_t ReadSize = 64UL * 1024;
 
 /// One buffer serves all connections, because each read is handed on before
 /// the next one starts.
@@ -19,16 +20,16 @@
 } // namespace
 
 StreamConnection::StreamConnection(EventLoop &Loop,
-                                   Poco::Net::StreamSocket Socket,
+                                   const Poco::Net::StreamSocket &Socket,
                                    Hooks NewHooks)
-    : Loop(Loop), Socket(std::move(Socket)),
+    : Loop(Loop), Socket(Socket),
       Callbacks(std::make_shared<Hooks>(std::move(NewHooks))) {}
 
 std::shared_ptr<StreamConnection>
-StreamConnection::accept(EventLoop &Loop, Poco::Net::StreamSocket Socket,
+StreamConnection::accept(EventLoop &Loop, const Poco::Net::StreamSocket &Socket,
                          Hooks NewHooks) {
   std::shared_ptr<StreamConnection> Made(
-      new StreamConnection(Loop, std::move(Socket), std::move(NewHooks)));
+      new StreamConnection(Loop, Socket, std::move(NewHooks)));
   Made->start();
   return Made;
 }
@@ -39,7 +40,7 @@
     Poco::Net::StreamSocket Socket;
     Socket.connectNB(Address);
     std::shared_ptr<StreamConnection> Made(
-        new StreamConnection(Loop, std::move(Socket), std::move(NewHooks)));
+        new StreamConnection(Loop, Socket, std::move(NewHooks)));
     Made->Connected = false;
     Made->start();
     Loop.watchWrites(Made->Socket, true);
@@ -193,10 +194,13 @@
       this->TotalOut += static_cast<std::uint64_t>(Count);
     }
   } catch (const Poco::Exception &Thrown) {
-    // Reported later, because the writer may be in the middle of its work.
-    this->Loop.post([Self = this->shared_from_this(),
-                     Reason = Thrown.displayText()] { Self->fail(Reason); });
-    return;
+    // POCO throws when a non-blocking send finds the socket full.
+    if (Thrown.code() != EAGAIN) {
+      // Reported later, because the writer may be in the middle of its work.
+      this->Loop.post([Self = this->shared_from_this(),
+                       Reason = Thrown.displayText()] { Self->fail(Reason); });
+      return;
+    }
   }
   this->afterFlush();
 }
--- a/src/libnet/streamconnection.h
+++ b/src/libnet/streamconnection.h
@@ -22,12 +22,13 @@
     std::function<void()> OnDrained;
   };
 
-  static constexpr std::size_t HighWater = 64 * 1024;
-  static constexpr std::size_t LowWater = 16 * 1024;
+  static constexpr std::size_t HighWater = 64UL * 1024;
+  static constexpr std::size_t LowWater = 16UL * 1024;
 
   /// Takes over a connected socket.
   static std::shared_ptr<StreamConnection>
-  accept(EventLoop &Loop, Poco::Net::StreamSocket Socket, Hooks NewHooks);
+  accept(EventLoop &Loop, const Poco::Net::StreamSocket &Socket,
+         Hooks NewHooks);
   /// Starts to connect; fails when the system refuses at once.
   static Result<std::shared_ptr<StreamConnection>>
   connect(EventLoop &Loop, const Poco::Net::SocketAddress &Address,
@@ -51,7 +52,7 @@
   bool peerActed();
 
 private:
-  StreamConnection(EventLoop &Loop, Poco::Net::StreamSocket Socket,
+  StreamConnection(EventLoop &Loop, const Poco::Net::StreamSocket &Socket,
                    Hooks NewHooks);
   void start();
   void onReadable();
