--- a/src/libconfig/configurationparser.cpp
+++ b/src/libconfig/configurationparser.cpp
@@ -21,10 +21,9 @@
 // "service "catalogue"", or just "service" when the name is unusable.
 std::string titled(const char *Kind, const YamlNode &Map) {
   const YamlNode *Name = Map.field("name");
-  if (Name == nullptr || Name->What != YamlNode::Kind::Scalar ||
-      Name->Text.size() > YamlChecker::MaxNameLength)
+  if (Name == nullptr || Name->What != YamlNode::Kind::Scalar)
     return Kind;
-  return std::string(Kind) + ' ' + quoted(Name->Text);
+  return std::string(Kind) + ' ' + YamlChecker::describe(*Name);
 }
 
 template <typename T, typename Value>
@@ -37,7 +36,7 @@
 
 ConfigurationSet ConfigurationParser::parse(const YamlNode &Root) {
   ConfigurationSet Set;
-  if (!this->Check.map(Root, "the configuration set",
+  if (!this->Check.map(Root, "the file",
                        {"version", "zones", "services", "routes", "limits"},
                        {"version", "zones", "services", "routes"}))
     return Set;
@@ -159,7 +158,8 @@
     bool Known = Service.Split.contains(Version);
     if (!Known) {
       this->Check.error(Field.Key,
-                        What + " names version " + quoted(Field.Key.Text) +
+                        What + " names version " +
+                            YamlChecker::describe(Field.Key) +
                             ", which the service does not have",
                         "add it to versions or remove it from split");
     }
--- a/src/libconfig/jsonfields.cpp
+++ b/src/libconfig/jsonfields.cpp
@@ -35,8 +35,16 @@
 }
 
 std::uint64_t JsonFields::number(const char *Key) {
-  const Json &Value = this->at(Key, &Json::is_number_unsigned, "a number");
-  return Value.is_number_unsigned() ? Value.get<std::uint64_t>() : 0;
+  const Json &Value = this->at(Key, &Json::is_number_integer, "a number");
+  if (!Value.is_number_integer())
+    return 0;
+  // A value that was never serialized may have a signed type.
+  if (!Value.is_number_unsigned() && Value.get<std::int64_t>() < 0) {
+    if (this->Problem.empty())
+      this->Problem = std::string("field \"") + Key + "\" is negative";
+    return 0;
+  }
+  return Value.get<std::uint64_t>();
 }
 
 std::uint32_t JsonFields::number32(const char *Key) {
--- a/src/libconfig/settings.cpp
+++ b/src/libconfig/settings.cpp
@@ -99,7 +99,7 @@
 
 NodeSettings parseNode(YamlChecker &Check, const YamlNode &Root) {
   NodeSettings Node;
-  if (!Check.map(Root, "the node settings",
+  if (!Check.map(Root, "the file",
                  {"name", "zone", "region", "listen", "peer_listen",
                   "local_listen", "control", "witnesses", "advertise", "log"},
                  {"name", "zone", "region", "listen", "peer_listen",
@@ -166,7 +166,7 @@
 
 ControlSettings parseControl(YamlChecker &Check, const YamlNode &Root) {
   ControlSettings Control;
-  if (!Check.map(Root, "the control settings",
+  if (!Check.map(Root, "the file",
                  {"name", "zone", "listen", "peers", "data_folder", "advertise",
                   "log"},
                  {"name", "zone", "listen", "peers", "data_folder"}))
--- a/src/libconfig/speccodec.cpp
+++ b/src/libconfig/speccodec.cpp
@@ -21,6 +21,11 @@
   return std::vector<Id>(Texts.begin(), Texts.end());
 }
 
+// Unsigned, because readers of JSON in this project expect that type.
+std::uint64_t microseconds(Duration Value) {
+  return static_cast<std::uint64_t>(Value.count());
+}
+
 } // namespace
 
 Json toJson(const ZoneSpec &Zone) {
@@ -45,7 +50,7 @@
            {{"slots", Service.Limits.Slots},
             {"connections", Service.Limits.Connections},
             {"queue", Service.Limits.Queue},
-            {"warm_up_us", Service.Limits.WarmUp.count()}}}};
+            {"warm_up_us", microseconds(Service.Limits.WarmUp)}}}};
 }
 
 Result<ServiceSpec> serviceFromJson(const ServiceName &Name,
@@ -68,10 +73,12 @@
 }
 
 Json toJson(const RouteSpec &Route) {
-  return {
-      {"method", Route.Method},         {"path_prefix", Route.PathPrefix},
-      {"service", Route.Service.str()}, {"class", toString(Route.Class)},
-      {"idempotent", Route.Idempotent}, {"timeout_us", Route.Timeout.count()}};
+  return {{"method", Route.Method},
+          {"path_prefix", Route.PathPrefix},
+          {"service", Route.Service.str()},
+          {"class", toString(Route.Class)},
+          {"idempotent", Route.Idempotent},
+          {"timeout_us", microseconds(Route.Timeout)}};
 }
 
 Result<RouteSpec> routeFromJson(const RouteName &Name, const Json &Value) {
@@ -93,8 +100,9 @@
 }
 
 Json toJson(const MeshLimits &Limits) {
-  return {{"retry_budget", Limits.RetryBudget.parts()},
-          {"idempotency_retention_us", Limits.IdempotencyRetention.count()}};
+  return {
+      {"retry_budget", Limits.RetryBudget.parts()},
+      {"idempotency_retention_us", microseconds(Limits.IdempotencyRetention)}};
 }
 
 Result<MeshLimits> meshLimitsFromJson(const Json &Value) {
@@ -127,11 +135,11 @@
 }
 
 Json toJson(const MoveSpec &Move) {
-  Json Value = {{"probation_us", Move.Probation.count()}};
+  Json Value = {{"probation_us", microseconds(Move.Probation)}};
   if (Move.FinishBy)
-    Value["finish_by_us"] = Move.FinishBy->time_since_epoch().count();
+    Value["finish_by_us"] = microseconds(Move.FinishBy->time_since_epoch());
   if (Move.FinishWithin)
-    Value["finish_within_us"] = Move.FinishWithin->count();
+    Value["finish_within_us"] = microseconds(*Move.FinishWithin);
   return Value;
 }
 
--- a/src/libconfig/textunits.cpp
+++ b/src/libconfig/textunits.cpp
@@ -25,6 +25,10 @@
 // Keeps products of number and unit within 64 bits.
 constexpr std::size_t MaxDigits = 9;
 
+// JSON carries times as microseconds since 1970 in 53 bits, until 2255.
+constexpr std::chrono::year MinYear(1970);
+constexpr std::chrono::year MaxYear(2199);
+
 bool isDigit(char Letter) { return Letter >= '0' && Letter <= '9'; }
 
 std::optional<std::int64_t> parseDigits(std::string_view Text,
@@ -116,7 +120,8 @@
   int Hour = digitsAt(Text, 11, 2);
   int Minute = digitsAt(Text, 14, 2);
   int Second = digitsAt(Text, 17, 2);
-  if (!Fraction || !Date.ok() || Hour > 23 || Minute > 59 || Second > 59)
+  if (!Fraction || !Date.ok() || Date.year() < MinYear ||
+      Date.year() > MaxYear || Hour > 23 || Minute > 59 || Second > 59)
     return std::nullopt;
   return WallTime(std::chrono::sys_days(Date)) + std::chrono::hours(Hour) +
          std::chrono::minutes(Minute) + std::chrono::seconds(Second) +
--- a/src/libconfig/textunits.h
+++ b/src/libconfig/textunits.h
@@ -15,6 +15,7 @@
 /// above 100%.
 std::optional<Share> parseShare(std::string_view Text);
 /// Reads "2026-12-04T12:00:00Z", with up to six decimals of the second.
+/// Only years from 1970 to 2199.
 std::optional<WallTime> parseWallTime(std::string_view Text);
 /// Reads "ADDRESS:PORT" or "[ADDRESS]:PORT" with a numeric IPv4 or IPv6
 /// address and a port from 0 to 65535.
--- a/src/libconfig/yamlchecker.cpp
+++ b/src/libconfig/yamlchecker.cpp
@@ -12,26 +12,6 @@
 
 constexpr std::size_t MaxQuotedLength = 40;
 
-std::string describe(const YamlNode &Node) {
-  switch (Node.What) {
-  case YamlNode::Kind::Null:
-    return "empty";
-  case YamlNode::Kind::Sequence:
-    return "a list";
-  case YamlNode::Kind::Map:
-    return "a map";
-  case YamlNode::Kind::Scalar:
-    break;
-  }
-  if (Node.Text.size() <= MaxQuotedLength)
-    return '"' + Node.Text + '"';
-  // Cuts before a UTF-8 character, never within one.
-  std::size_t Length = MaxQuotedLength;
-  while (Length > 0 && (Node.Text[Length] & 0xC0) == 0x80)
-    --Length;
-  return '"' + Node.Text.substr(0, Length) + "...\"";
-}
-
 std::string joined(YamlChecker::Names Names) {
   std::string Text;
   for (const char *Name : Names)
@@ -55,6 +35,30 @@
 
 } // namespace
 
+std::string YamlChecker::describe(const YamlNode &Node) {
+  switch (Node.What) {
+  case YamlNode::Kind::Null:
+    return "empty";
+  case YamlNode::Kind::Sequence:
+    return "a list";
+  case YamlNode::Kind::Map:
+    return "a map";
+  case YamlNode::Kind::Scalar:
+    break;
+  }
+  std::size_t Length = std::min(Node.Text.size(), MaxQuotedLength);
+  // Cuts before a UTF-8 character, never within one.
+  while (Length > 0 && Length < Node.Text.size() &&
+         (Node.Text[Length] & 0xC0) == 0x80)
+    --Length;
+  std::string Text = Node.Text.substr(0, Length);
+  std::replace_if(
+      Text.begin(), Text.end(),
+      [](char Letter) { return static_cast<unsigned char>(Letter) < ' '; },
+      '?');
+  return '"' + Text + (Length < Node.Text.size() ? "...\"" : "\"");
+}
+
 void YamlChecker::error(const YamlNode &At, std::string Message,
                         std::string Remedy) {
   this->add(Severity::Error, At, std::move(Message), std::move(Remedy));
--- a/src/libconfig/yamlchecker.h
+++ b/src/libconfig/yamlchecker.h
@@ -54,6 +54,9 @@
   std::optional<Endpoint> endpoint(const YamlNode &Node,
                                    const std::string &What, bool Listens);
 
+  /// The value as findings show it: quoted, on one line and cut when long.
+  static std::string describe(const YamlNode &Node);
+
   static constexpr std::size_t MaxNameLength = 63;
   /// Findings beyond this number are counted but not kept.
   static constexpr std::size_t MaxFindings = 200;
--- a/src/libconfig/yamltree.cpp
+++ b/src/libconfig/yamltree.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/TextEncoding.h>
 #include <Poco/UTF8Encoding.h>
+#include <algorithm>
 #include <sstream>
 #include <utility>
 #include <yaml-cpp/eventhandler.h>
@@ -12,6 +13,9 @@
 
 namespace {
 
+// Findings about anchors, aliases and tags beyond this number stop the parser.
+constexpr std::size_t MaxRefused = 100;
+
 // Builds the tree from parser events.
 class TreeBuilder : public YAML::EventHandler {
 public:
@@ -111,6 +115,8 @@
   }
 
   void refuse(const YAML::Mark &Mark, const char *Message, const char *Remedy) {
+    if (++this->Refused > MaxRefused)
+      throw YAML::ParserException(Mark, "too many refused YAML features");
     this->All.push_back({Severity::Error,
                          {this->FileName, Mark.line + 1, Mark.column + 1},
                          Message,
@@ -121,6 +127,7 @@
   Findings &All;
   std::vector<Frame> Open;
   std::size_t Count = 0;
+  std::size_t Refused = 0;
 };
 
 // Position of the first byte that YAML text must not contain.
@@ -170,6 +177,19 @@
                    "make the file smaller"});
     return false;
   }
+  auto FlowBytes = std::count_if(Text.begin(), Text.end(), [](char Letter) {
+    return Letter == '[' || Letter == ']' || Letter == '{' || Letter == '}' ||
+           Letter == ',';
+  });
+  if (static_cast<std::size_t>(FlowBytes) > MaxYamlFlowBytes) {
+    All.push_back({Severity::Error,
+                   {FileName, 0, 0},
+                   "the file has " + std::to_string(FlowBytes) +
+                       " brackets and commas; at most " +
+                       std::to_string(MaxYamlFlowBytes) + " are accepted",
+                   "write one NAME: VALUE on each line"});
+    return false;
+  }
   if (auto Bad = findBadByte(Text)) {
     All.push_back({Severity::Error, placeOfByte(Text, *Bad, FileName),
                    "the file has a control character or invalid UTF-8",
--- a/src/libconfig/yamltree.h
+++ b/src/libconfig/yamltree.h
@@ -38,6 +38,10 @@
 /// Bounds the memory that a text of many short values takes.
 inline constexpr std::size_t MaxYamlNodes = 400000;
 
+/// Bound on the bytes [ ] { } and comma. yaml-cpp keeps all tokens of a flow
+/// collection, about 230 bytes each, until the collection is closed.
+inline constexpr std::size_t MaxYamlFlowBytes = 200000;
+
 /// Parses exactly one document. Anchors, aliases and tags are refused.
 /// Returns nothing when the text cannot be represented; \a All then has at
 /// least one error. Never throws.
