--- a/tests/libconfig/test_codec.cpp
+++ b/tests/libconfig/test_codec.cpp
@@ -67,17 +67,17 @@
   Json Whole = toJson(readValid(ValidSet));
   Json Flat = Whole.flatten();
   int Refused = 0;
-  for (const auto &[Pointer, Value] : Flat.items()) {
+  for (const auto &Leaf : Flat.items()) {
     Json Broken = Whole;
-    Broken[Json::json_pointer(Pointer)] = nullptr;
-    CHECK_MESSAGE(!configurationFromJson(Broken), Pointer);
+    Broken[Json::json_pointer(Leaf.key())] = nullptr;
+    CHECK_MESSAGE(!configurationFromJson(Broken), Leaf.key());
     ++Refused;
   }
   CHECK(Refused > 30);
-  for (const auto &[Key, Value] : Whole.items()) {
+  for (const auto &Field : Whole.items()) {
     Json Broken = Whole;
-    Broken.erase(Key);
-    CHECK_MESSAGE(!configurationFromJson(Broken), Key);
+    Broken.erase(Field.key());
+    CHECK_MESSAGE(!configurationFromJson(Broken), Field.key());
   }
   for (const Json &Value : {Json(), Json(1), Json("x"), Json::array()})
     CHECK_FALSE(configurationFromJson(Value));
--- a/tests/libconfig/test_routingview.cpp
+++ b/tests/libconfig/test_routingview.cpp
@@ -287,6 +287,7 @@
              "/api/v1/part" + std::to_string(Index) + "/items");
   RoutingView View = viewOf(All);
   std::vector<std::string> Paths;
+  Paths.reserve(501);
   for (int Index = 0; Index < 500; ++Index)
     Paths.push_back("/api/v1/part" + std::to_string(Index) + "/items/42");
   Paths.push_back('/' + std::string(16000, '/'));
