--- a/src/libdistribution/revisiongate.h
+++ b/src/libdistribution/revisiongate.h
@@ -53,7 +53,7 @@
   std::vector<NodeName> missingWitnesses() const;
 
   /// True once the entry role may serve. It never becomes false again.
-  bool mayServe() const;
+  bool mayServe() const { return this->Serving; }
   /// Why the entry role waits; empty when it may serve.
   std::string waitReason() const;
   Revision inForce() const { return this->InForce; }
@@ -63,7 +63,7 @@
   RevisionGate(RevisionGateOptions Options, Instant Started)
       : Options(std::move(Options)), Started(Started) {}
   void conclude();
-  std::optional<Revision> safeRevision() const;
+  Result<Revision> safeRevision() const;
 
   RevisionGateOptions Options;
   Instant Started;
--- a/src/libpolicy/localreflex.h
+++ b/src/libpolicy/localreflex.h
@@ -9,10 +9,11 @@
 
 /// A node's own reduction of an unproven version's share. It only ever lowers
 /// the share that the leader decided, on what this node has seen itself, and
-/// ends when a newer decision of the leader arrives.
+/// ends when a newer decision of the leader arrives. A version that is bad gets
+/// no share; one that is suspect at a large share gets half of it.
 class LocalReflex {
 public:
-  static Result<LocalReflex> create(std::vector<RouteName> Routes,
+  static Result<LocalReflex> create(const std::vector<RouteName> &Routes,
                                     AnalysisOptions Options = {});
 
   /// Takes the leader's decision in force at this node. A higher \a Decided
@@ -25,19 +26,17 @@
 
   /// Share to use; never more than the leader's.
   Share share() const;
-  bool reduced() const { return this->Reduced; }
+  bool reduced() const { return this->share() < this->Leaders; }
   const AnalysisVerdict &verdict() const { return this->Analysis.verdict(); }
 
 private:
-  LocalReflex(std::vector<RouteName> Routes, AnalysisOptions Options,
-              VersionAnalysis Analysis);
+  explicit LocalReflex(VersionAnalysis Analysis);
 
-  std::vector<RouteName> Routes;
-  AnalysisOptions Options;
   VersionAnalysis Analysis;
   Revision Followed;
   Share Leaders;
-  bool Reduced = false;
+  /// The most that this node gives the version.
+  Share Limit = Share::all();
 };
 
 } // namespace amaranthward
--- a/src/libpolicy/movepacer.h
+++ b/src/libpolicy/movepacer.h
@@ -21,9 +21,13 @@
 /// What the leader knows at the time of one decision.
 struct MoveInputs {
   WallTime Now;
+  /// The analysis of the move's candidate against its baseline.
   AnalysisVerdict Verdict;
   /// Calls per second of the whole service; 0 while unknown.
   double CallsPerSecond = 0;
+  /// Calls of the whole service since the move began, from the same counters
+  /// as the verdict.
+  std::uint64_t AllCalls = 0;
   /// Calls of the whole service in flight (rate times mean latency).
   double Demand = 0;
   /// Calls that each version's live upstreams can hold at the same time; a
@@ -37,7 +41,7 @@
 
 enum class MoveAction {
   Keep,
-  /// Write Next, whose InForce split or phase differs from the one before.
+  /// Write Next: its split, phase or evidence has changed.
   SetShare,
   /// Write Next, which has ended, and report it.
   End,
@@ -46,6 +50,8 @@
   Revert,
 };
 
+const char *toString(MoveAction Action);
+
 struct MoveDecision {
   MoveAction Action = MoveAction::Keep;
   /// Equal to the state passed in when \a Action is Keep.
@@ -67,7 +73,8 @@
   double FirstRate = 2;
   /// Growth of the candidate's calls per second with each call seen.
   double RatePerCall = 0.5;
-  /// Share beyond which EarlyCalls per route are required.
+  /// Share of the first step at most, and of all calls of the move that the
+  /// candidate may have had until there are EarlyCalls per route.
   Share EarlyShare = Share(100);
   std::uint32_t EarlyCalls = 300;
   /// Largest factor and largest difference of one step.
@@ -77,18 +84,20 @@
   double CapacityPart = 0.8;
 };
 
-/// Decides each step of a move. It has no state of its own: everything is in
+/// Decides each step of a move. A suspect candidate whose share is large gets
+/// half of it, which gives it a concurrent baseline again. The pacer has no state of its own: everything is in
 /// the MoveState, which the log stores.
 class MovePacer {
 public:
+  /// Fails with InvalidArgument on options that allow no step.
   static Result<MovePacer> create(PacerOptions Options = {});
 
-  /// Begins a move at \a Now from \a InForce. \a Settled is the split before
-  /// the first unfinished move; it is where a rollback leads. \a Open is the
-  /// move to replace, if any. Fails with InvalidArgument when a split does not
-  /// add up to Share::Whole.
+  /// Begins a move at \a Now from \a InForce. \a Open is the service's last
+  /// move, if any; when it has not ended, the new move replaces it and keeps
+  /// its fallback. Fails with InvalidArgument when a split does not add up to
+  /// Share::Whole.
   static Result<MoveStart> begin(WallTime Now, const MoveRequest &Wanted,
-                                 const Split &InForce, const Split &Settled,
+                                 const Split &InForce,
                                  const std::optional<MoveState> &Open);
 
   /// Never changes a move that has ended, but for Revert.
@@ -101,16 +110,18 @@
 private:
   explicit MovePacer(PacerOptions Options) : Options(Options) {}
 
-  MoveDecision decideOpen(const MoveState &State, const MoveInputs &In) const;
+  MoveDecision decideShare(const MoveState &State, const MoveInputs &In) const;
   MoveDecision decideHolding(const MoveState &State,
                              const MoveInputs &In) const;
+  MoveDecision decideDone(const MoveState &State, const MoveInputs &In) const;
   MoveDecision decideAtDeadline(const MoveState &State,
                                 const MoveInputs &In) const;
-  MoveDecision decideShare(const MoveState &State, const MoveInputs &In) const;
-  /// Share of the driver wanted now, before the bounds on one step.
-  double wantedShare(const MoveState &State, const MoveInputs &In) const;
-  double plannedShare(const MoveState &State, WallTime Now) const;
-  double capacityShare(const MoveState &State, const MoveInputs &In) const;
+  /// Shares of the driver beyond its share in the fallback, in parts.
+  double evidenceGain(const MoveState &State, const MoveInputs &In) const;
+  double earlyGain(const MoveInputs &In) const;
+  double plannedGain(const MoveState &State, const MoveInputs &In) const;
+  double capacityGain(const MoveState &State, const MoveInputs &In) const;
+  double nextGain(const MoveState &State, const MoveInputs &In) const;
 
   PacerOptions Options;
 };
--- a/src/libpolicy/movestate.h
+++ b/src/libpolicy/movestate.h
@@ -10,6 +10,10 @@
 
 namespace amaranthward {
 
+/// A version that is suspect keeps its share up to this one; a larger share is
+/// halved until the verdict is clear.
+inline constexpr Share LargestDoubtfulShare = Share(1000);
+
 using Split = std::map<VersionName, Share>;
 
 enum class MovePhase {
@@ -96,8 +100,11 @@
   friend bool operator==(const MoveState &, const MoveState &) = default;
 };
 
-Json splitToJson(const Split &Shares);
+Share shareIn(const Split &Shares, const VersionName &Version);
 /// Fails with InvalidArgument unless the shares add up to Share::Whole.
+Result<void> checkSplit(const Split &Shares);
+Json splitToJson(const Split &Shares);
+/// Fails with InvalidArgument on anything that checkSplit refuses.
 Result<Split> splitFromJson(const Json &Value);
 
 } // namespace amaranthward
--- a/src/libpolicy/versionanalysis.h
+++ b/src/libpolicy/versionanalysis.h
@@ -11,7 +11,14 @@
 
 namespace amaranthward {
 
-enum class Judgement { NotEnoughEvidence, GoodSoFar, Bad };
+enum class Judgement {
+  NotEnoughEvidence,
+  GoodSoFar,
+  /// Probably bad, but there is no concurrent baseline, or too little of it,
+  /// to exclude a disturbance of both versions.
+  Suspect,
+  Bad,
+};
 
 const char *toString(Judgement Kind);
 
@@ -56,7 +63,7 @@
 class VersionAnalysis {
 public:
   /// Fails with InvalidArgument without routes or with a budget outside (0, 1).
-  static Result<VersionAnalysis> create(std::vector<RouteName> Routes,
+  static Result<VersionAnalysis> create(const std::vector<RouteName> &Routes,
                                         AnalysisOptions Options = {});
 
   /// Takes the newest totals; routes that were not named at creation are
@@ -65,10 +72,15 @@
   const AnalysisVerdict &step(Instant Now,
                               const std::map<RouteName, RouteTotals> &Totals);
 
+  /// Forgets the evidence on the candidate and keeps the baseline.
+  void restart();
+
   const AnalysisVerdict &verdict() const { return this->Verdict; }
 
 private:
-  VersionAnalysis(std::vector<RouteName> Routes, AnalysisOptions Options);
+  VersionAnalysis(const std::vector<RouteName> &Routes,
+                  AnalysisOptions Options);
+  void conclude();
 
   AnalysisOptions Options;
   std::map<RouteName, RouteAnalysis> Routes;
