--- a/src/libnet/serverconnection.cpp
+++ b/src/libnet/serverconnection.cpp
@@ -339,11 +339,20 @@
   }
   if (!this->NoBody && !this->LeftToSend)
     this->Stream->write(LastChunk);
-  if (this->Phase == State::Body && !this->Decoder.done())
+  if (this->Phase == State::Body && !this->skipReceivedBody())
     this->CloseAfter = true;
   this->endResponse();
 }
 
+bool ServerConnection::skipReceivedBody() {
+  BodyDecoder::Step Step;
+  do {
+    Step = this->Decoder.decode(this->unread());
+    this->Used += Step.Consumed;
+  } while (Step.Consumed > 0 && !this->Decoder.done());
+  return this->Decoder.done();
+}
+
 void ServerConnection::endResponse() {
   this->Callbacks.reset();
   this->PhaseStart = this->Loop.now();
--- a/src/libnet/serverconnection.h
+++ b/src/libnet/serverconnection.h
@@ -57,6 +57,8 @@
   bool pumpBody();
   void startRequest(HttpRequestHead Head);
   void refuse(int Status, const std::string &Message);
+  /// Discards the rest of the request body; false when it has not arrived.
+  bool skipReceivedBody();
   void endResponse();
   void updateReads();
   std::string_view unread() const;
--- /dev/null
+++ b/src/libproxy/attemptresult.cpp
@@ -0,0 +1,27 @@
+#include "libproxy/attemptresult.h"
+#include <algorithm>
+#include <array>
+
+namespace amaranthward {
+
+bool isLeaving(const std::string &Reason) {
+  static constexpr std::array<std::string_view, 8> All = {
+      "leaving",        "zone-out",    "version-out",       "other-version",
+      "gate-restarted", "no-upstream", "upstream-replaced", "stopped"};
+  return std::find(All.begin(), All.end(), Reason) != All.end();
+}
+
+AttemptResult resultOf(const AttemptFailure &Failure) {
+  if (Failure.Refused)
+    return AttemptResult::ConnectRefused;
+  if (Failure.Known == Outcome::NotRun) {
+    if (Failure.Reason == "upstream-unreachable")
+      return AttemptResult::ConnectRefused;
+    return isLeaving(Failure.Reason) ? AttemptResult::Leaving
+                                     : AttemptResult::Shed;
+  }
+  return Failure.Reason == "deadline" ? AttemptResult::Timeout
+                                      : AttemptResult::Failure;
+}
+
+} // namespace amaranthward
--- /dev/null
+++ b/src/libproxy/attemptresult.h
@@ -0,0 +1,17 @@
+#ifndef AMARANTHWARD_LIBPROXY_ATTEMPTRESULT_H
+#define AMARANTHWARD_LIBPROXY_ATTEMPTRESULT_H
+
+#include "libpolicy/upstreamchoice.h"
+#include "libproxy/forwardattempt.h"
+
+namespace amaranthward {
+
+/// True for the reason of a gate that will not take work for a while.
+bool isLeaving(const std::string &Reason);
+
+/// What the failure says about the upstream, for the upstream choice.
+AttemptResult resultOf(const AttemptFailure &Failure);
+
+} // namespace amaranthward
+
+#endif
--- /dev/null
+++ b/src/libproxy/entrycall.cpp
@@ -0,0 +1,399 @@
+#include "libproxy/entrycall.h"
+#include "libproxy/attemptresult.h"
+
+namespace amaranthward {
+
+namespace {
+
+constexpr int Unavailable = 503;
+constexpr int BadGateway = 502;
+constexpr int GatewayTimeout = 504;
+constexpr int FirstServerError = 500;
+
+} // namespace
+
+EntryCall::EntryCall(EntryContext &Shared,
+                     std::shared_ptr<ServerExchange> Exchange,
+                     const RouteSpec &Route, CallClass Class, Deadline Until,
+                     std::function<void(EntryCall *)> OnOver)
+    : Shared(Shared), Exchange(std::move(Exchange)), Route(Route), Class(Class),
+      Until(Until), OnOver(std::move(OnOver)) {}
+
+std::shared_ptr<EntryCall>
+EntryCall::create(EntryContext &Shared,
+                  std::shared_ptr<ServerExchange> Exchange,
+                  const RouteSpec &Route, CallClass Class, Deadline Until,
+                  std::function<void(EntryCall *)> OnOver) {
+  return std::shared_ptr<EntryCall>(new EntryCall(
+      Shared, std::move(Exchange), Route, Class, Until, std::move(OnOver)));
+}
+
+EntryCall::~EntryCall() { this->Shared.Loop.cancel(this->DeadlineTimer); }
+
+void EntryCall::begin() {
+  std::weak_ptr<EntryCall> Self = this->weak_from_this();
+  this->DeadlineTimer = this->Shared.Loop.after(
+      this->Until.left(this->Shared.Loop.now()), [Self] {
+        if (auto Kept = Self.lock())
+          Kept->giveUp(Outcome::NotRun, GatewayTimeout, "deadline");
+      });
+  const auto &Length = this->Exchange->request().BodyLength;
+  this->BodyComplete = Length == std::uint64_t(0);
+  bool WaitForBody = Length && *Length <= HeldBody && !this->BodyComplete;
+  this->setExchangeHooks();
+  if (!WaitForBody)
+    this->firstAttempt();
+}
+
+void EntryCall::setExchangeHooks() {
+  std::weak_ptr<EntryCall> Self = this->weak_from_this();
+  ServerExchange::Hooks Hooks;
+  Hooks.OnBody = [Self](std::string_view Data) {
+    if (auto Kept = Self.lock())
+      Kept->onRequestBody(Data);
+  };
+  Hooks.OnBodyEnd = [Self] {
+    if (auto Kept = Self.lock())
+      Kept->onRequestEnd();
+  };
+  Hooks.OnAborted = [Self] {
+    if (auto Kept = Self.lock())
+      Kept->onAborted();
+  };
+  Hooks.OnDrained = [Self] {
+    auto Kept = Self.lock();
+    if (!Kept || !Kept->CallerPaused)
+      return;
+    Kept->CallerPaused = false;
+    if (Kept->Attempt)
+      Kept->Attempt->pauseResponse(false);
+  };
+  this->Exchange->setHooks(std::move(Hooks));
+}
+
+void EntryCall::onRequestBody(std::string_view Data) {
+  if (this->Held.size() + Data.size() <= HeldBody) {
+    if (this->AllHeld)
+      this->Held.append(Data);
+  } else if (this->AllHeld) {
+    this->AllHeld = false;
+    std::string().swap(this->Held);
+  }
+  // Reading is paused while there is no attempt and the body is not complete.
+  if (this->Attempt && !this->Attempt->sendBody(Data))
+    this->Exchange->pauseBody();
+}
+
+void EntryCall::onRequestEnd() {
+  this->BodyComplete = true;
+  if (!this->Started)
+    this->firstAttempt();
+  else if (this->Attempt)
+    this->Attempt->finishBody();
+}
+
+void EntryCall::onAborted() {
+  auto Self = this->shared_from_this();
+  if (this->Attempt)
+    this->Attempt->cancel();
+  ++this->Shared.Counters.Cancelled;
+  this->over();
+}
+
+bool EntryCall::keyed() const {
+  return !this->Route.Idempotent &&
+         this->Exchange->request().Headers.has(header::IdempotencyKey);
+}
+
+bool EntryCall::unproven() const {
+  return this->Chosen && this->Shared.State.View &&
+         candidateOf(*this->Shared.State.View, this->Route.Service) ==
+             this->Chosen->Version;
+}
+
+void EntryCall::firstAttempt() {
+  this->Started = true;
+  if (auto *Budget = this->Shared.budget(this->Route.Service))
+    Budget->recordCall(this->Shared.Loop.now());
+  this->attemptAt(drawVersions(*this->Shared.State.View, this->Route.Service,
+                               this->Shared.Limits, this->Shared.Random()));
+}
+
+void EntryCall::attemptAt(const std::vector<VersionName> &Versions) {
+  this->Chosen.reset();
+  Instant Now = this->Shared.Loop.now();
+  for (const VersionName &Each : Versions) {
+    this->Chosen = this->Shared.Directory.choose(this->Route.Service, Each, Now,
+                                                 this->Avoid);
+    if (this->Chosen)
+      break;
+  }
+  if (!this->Chosen) {
+    this->giveUp(Outcome::NotRun, Unavailable, "no-upstream");
+    return;
+  }
+  this->Counted = true;
+  this->Avoid.push_back(this->Chosen->Handle);
+  this->AttemptStart = Now;
+  this->Id = this->Shared.nextId();
+  if (this->keyed() && this->Shared.Hooks.Claim)
+    this->claim();
+  else
+    this->forward();
+}
+
+void EntryCall::claim() {
+  if (!this->BodyComplete)
+    this->Exchange->pauseBody();
+  std::weak_ptr<EntryCall> Self = this->weak_from_this();
+  ClaimRequest Asked{
+      this->Route.Service,
+      this->Exchange->request().Headers.get(header::IdempotencyKey),
+      this->Id,
+      this->Chosen->Target,
+      this->Until,
+      this->NotRunId};
+  this->Shared.Hooks.Claim(Asked, [Self, Mine = this->Id](ClaimAnswer Answer) {
+    auto Kept = Self.lock();
+    if (Kept && Kept->Exchange && Kept->Id == Mine && !Kept->Attempt)
+      Kept->onClaim(Answer);
+  });
+}
+
+void EntryCall::onClaim(const ClaimAnswer &Answer) {
+  switch (Answer.Verdict) {
+  case ClaimAnswer::Kind::Granted:
+    this->forward();
+    return;
+  case ClaimAnswer::Kind::Attach:
+    this->attachTo(Answer);
+    return;
+  case ClaimAnswer::Kind::Unknown:
+    break;
+  }
+  this->record(AttemptResult::Cancelled, std::nullopt);
+  this->giveUp(Outcome::Unknown, BadGateway, "claim-unknown");
+}
+
+void EntryCall::forward() {
+  ++this->Attempts;
+  ++this->Shared.Counters.Attempts;
+  this->Attempt = ForwardAttempt::create(
+      this->Shared.Loop, this->Shared.Client, this->Chosen->Target.PeerAddress,
+      this->forwardHead(this->Id, this->Chosen->Target), this->Route.Idempotent,
+      this->attemptHooks());
+  this->Attempt->begin();
+  this->sendHeldBody();
+}
+
+void EntryCall::attachTo(const ClaimAnswer &Answer) {
+  this->record(AttemptResult::Cancelled, std::nullopt);
+  this->Attached = true;
+  this->Attempt = ForwardAttempt::create(
+      this->Shared.Loop, this->Shared.Client, Answer.Gate.PeerAddress,
+      this->forwardHead(Answer.Id, Answer.Gate), false, this->attemptHooks());
+  this->Attempt->beginAttached();
+  if (!this->BodyComplete)
+    this->Exchange->resumeBody();
+}
+
+HttpRequestHead EntryCall::forwardHead(const RequestId &RequestNumber,
+                                       const Member &Gate) const {
+  const HttpRequestHead &In = this->Exchange->request();
+  Instant Now = this->Shared.Loop.now();
+  HttpRequestHead Out{In.Method, In.Target, endToEnd(In.Headers),
+                      In.BodyLength};
+  Out.Headers.add(header::RequestId, RequestNumber.str());
+  Out.Headers.add(header::Incarnation, std::to_string(Gate.Start.value()));
+  Out.Headers.add(header::Revision,
+                  std::to_string(this->Shared.State.Applied.value()));
+  Out.Headers.add(header::Route, this->Route.Name.str());
+  Out.Headers.add(header::Version, Gate.Version.str());
+  Out.Headers.add(header::Class, toString(this->Class));
+  Out.Headers.add(header::DeadlineMs,
+                  this->Until.forNextHop(Now).toHeader(Now));
+  return Out;
+}
+
+ForwardAttempt::Hooks EntryCall::attemptHooks() {
+  std::weak_ptr<EntryCall> Self = this->weak_from_this();
+  ForwardAttempt::Hooks Hooks;
+  Hooks.OnHead = [Self](const HttpResponseHead &Received) {
+    if (auto Kept = Self.lock())
+      Kept->onHead(Received);
+  };
+  Hooks.OnBody = [Self](std::string_view Data) {
+    if (auto Kept = Self.lock())
+      Kept->onBody(Data);
+  };
+  Hooks.OnEnd = [Self] {
+    if (auto Kept = Self.lock())
+      Kept->onEnd();
+  };
+  Hooks.OnFailed = [Self](const AttemptFailure &Failure) {
+    if (auto Kept = Self.lock())
+      Kept->onFailed(Failure);
+  };
+  Hooks.OnDrained = [Self] {
+    if (auto Kept = Self.lock(); Kept && !Kept->BodyComplete)
+      Kept->Exchange->resumeBody();
+  };
+  return Hooks;
+}
+
+void EntryCall::sendHeldBody() {
+  bool Room = this->Held.empty() || this->Attempt->sendBody(this->Held);
+  if (this->BodyComplete)
+    this->Attempt->finishBody();
+  else if (Room)
+    this->Exchange->resumeBody();
+}
+
+void EntryCall::onHead(const HttpResponseHead &Received) {
+  if (!this->Attached)
+    this->Shared.Directory.hintLoad(this->Route.Service, *this->Chosen,
+                                    Received.Headers.get(header::Load),
+                                    this->Shared.Loop.now());
+  if (Received.Status >= FirstServerError && !this->Attached) {
+    this->record(AttemptResult::Failure, false);
+    this->Discarding = this->retry(AttemptOutcome::Failed, false);
+    if (this->Discarding)
+      return;
+  }
+  HttpResponseHead Out = Received;
+  Out.Headers = endToEnd(Received.Headers);
+  for (const char *Each : {header::Outcome, header::Reason, header::Load})
+    if (Received.Headers.has(Each))
+      Out.Headers.add(Each, Received.Headers.get(Each));
+  this->HeadSent = true;
+  this->Exchange->sendHead(Out);
+}
+
+void EntryCall::onBody(std::string_view Data) {
+  if (!this->HeadSent || this->Exchange->sendBody(Data))
+    return;
+  this->CallerPaused = true;
+  this->Attempt->pauseResponse(true);
+}
+
+void EntryCall::onEnd() {
+  auto Self = this->shared_from_this();
+  this->record(AttemptResult::Success, true);
+  ++this->Shared.Counters.Answered;
+  this->Exchange->finish();
+  this->over();
+}
+
+void EntryCall::onFailed(const AttemptFailure &Failure) {
+  auto Self = this->shared_from_this();
+  this->record(resultOf(Failure), Failure.Known == Outcome::Unknown
+                                      ? std::optional(false)
+                                      : std::nullopt);
+  this->Attempt.reset();
+  if (Failure.Known != Outcome::NotRun)
+    this->MayHaveRun = true;
+  else
+    this->NotRunId = this->Id;
+  bool Leaving = isLeaving(Failure.Reason);
+  if (Leaving && this->Attempts > 0)
+    --this->Attempts;
+  bool Final = this->HeadSent || this->Attached;
+  auto Ended = Failure.Known == Outcome::NotRun ? AttemptOutcome::NotRun
+                                                : AttemptOutcome::Unknown;
+  if (Final || !this->retry(Ended, Leaving))
+    this->giveUp(Failure.Known, Failure.Status, Failure.Reason);
+}
+
+void EntryCall::record(AttemptResult Result, std::optional<bool> Ok) {
+  if (!this->Counted)
+    return;
+  this->Counted = false;
+  Instant Now = this->Shared.Loop.now();
+  Duration Latency = Now - this->AttemptStart;
+  this->Shared.Directory.finish(this->Route.Service, *this->Chosen, Result,
+                                Latency, Now);
+  if (Ok && this->Shared.Hooks.OnAttempt)
+    this->Shared.Hooks.OnAttempt({this->Route.Service, this->Chosen->Version,
+                                  this->Route.Name, *Ok, Latency});
+}
+
+bool EntryCall::retry(AttemptOutcome Ended, bool Leaving) {
+  Instant Now = this->Shared.Loop.now();
+  RetryBudget *Budget = this->Shared.budget(this->Route.Service);
+  RetryQuestion Question;
+  Question.Outcome = Ended;
+  Question.Idempotent = this->Route.Idempotent;
+  Question.UnprovenVersion = this->unproven();
+  Question.BaselineTried = this->BaselineTried;
+  Question.BodyHeld = this->AllHeld;
+  Question.Leaving = Leaving;
+  Question.Attempts = this->Attempts;
+  Question.TimeLeft = this->Until.left(Now);
+  Question.BudgetLeft = Budget && Budget->available();
+  RetryDecision Decision = retryDecision(Question);
+  if (Decision.Action == RetryAction::Stop)
+    return false;
+  if (Decision.Action == RetryAction::Retry && !Budget->trySpend(Now))
+    return false;
+  if (Ended == AttemptOutcome::Failed)
+    this->MayHaveRun = true;
+  if (auto Old = std::move(this->Attempt))
+    Old->cancel();
+  if (!this->BodyComplete)
+    this->Exchange->pauseBody();
+  ++this->Shared.Counters.Retries;
+  const RoutingView &View = *this->Shared.State.View;
+  std::vector<VersionName> Versions;
+  if (Decision.Action == RetryAction::RetryOnBaseline) {
+    this->BaselineTried = true;
+    ++this->Shared.Counters.BaselineRetries;
+    Versions = {baselineOf(View, this->Route.Service)};
+  } else {
+    Versions = drawVersions(View, this->Route.Service, this->Shared.Limits,
+                            this->Shared.Random());
+  }
+  // Posted, because the attempt that ended is still calling.
+  this->Shared.Loop.post([Self = this->shared_from_this(), Versions] {
+    if (Self->Exchange)
+      Self->attemptAt(Versions);
+  });
+  return true;
+}
+
+void EntryCall::giveUp(Outcome Known, int Status, const std::string &Reason) {
+  auto Self = this->shared_from_this();
+  if (!this->Exchange)
+    return;
+  if (this->Attempt) {
+    this->MayHaveRun = this->MayHaveRun || this->Attempt->mayHaveRun();
+    this->Attempt->cancel();
+    this->record(AttemptResult::Timeout, false);
+  }
+  // The gate of an earlier request knows nothing of attempts at other gates.
+  if (this->MayHaveRun || this->Attached)
+    Known = Outcome::Unknown;
+  ++(Known == Outcome::NotRun ? this->Shared.Counters.NotRun
+                              : this->Shared.Counters.Unknown);
+  if (this->HeadSent)
+    this->Exchange->abort();
+  else
+    respond(*this->Exchange, Status, "text/plain", Reason + "\n",
+            outcomeFields(Known, Reason));
+  this->over();
+}
+
+void EntryCall::over() {
+  this->record(AttemptResult::Cancelled, std::nullopt);
+  this->Shared.Loop.cancel(this->DeadlineTimer);
+  this->Exchange.reset();
+  this->Attempt.reset();
+  if (auto Done = std::move(this->OnOver))
+    Done(this);
+}
+
+void EntryCall::checkSilence(Instant Now) {
+  if (this->Attempt)
+    this->Attempt->checkSilence(Now);
+}
+
+} // namespace amaranthward
--- /dev/null
+++ b/src/libproxy/entrycall.h
@@ -0,0 +1,87 @@
+#ifndef AMARANTHWARD_LIBPROXY_ENTRYCALL_H
+#define AMARANTHWARD_LIBPROXY_ENTRYCALL_H
+
+#include "libnet/httpserver.h"
+#include "libpolicy/retrydecision.h"
+#include "libproxy/entrycontext.h"
+#include "libproxy/forwardattempt.h"
+
+namespace amaranthward {
+
+/// One call of a caller: its attempts, and the one response it gets.
+class EntryCall : public std::enable_shared_from_this<EntryCall> {
+public:
+  /// Request bodies up to this size are kept to be sent again, and are
+  /// forwarded only when they are complete.
+  static constexpr std::size_t HeldBody = 64UL * 1024;
+
+  static std::shared_ptr<EntryCall>
+  create(EntryContext &Shared, std::shared_ptr<ServerExchange> Exchange,
+         const RouteSpec &Route, CallClass Class, Deadline Until,
+         std::function<void(EntryCall *)> OnOver);
+  ~EntryCall();
+
+  void begin();
+  void checkSilence(Instant Now);
+
+private:
+  EntryCall(EntryContext &Shared, std::shared_ptr<ServerExchange> Exchange,
+            const RouteSpec &Route, CallClass Class, Deadline Until,
+            std::function<void(EntryCall *)> OnOver);
+  void setExchangeHooks();
+  void onRequestBody(std::string_view Data);
+  void onRequestEnd();
+  void onAborted();
+  void firstAttempt();
+  void attemptAt(const std::vector<VersionName> &Versions);
+  void claim();
+  void onClaim(const ClaimAnswer &Answer);
+  void forward();
+  void attachTo(const ClaimAnswer &Answer);
+  HttpRequestHead forwardHead(const RequestId &Id, const Member &Gate) const;
+  ForwardAttempt::Hooks attemptHooks();
+  void sendHeldBody();
+  void onHead(const HttpResponseHead &Received);
+  void onBody(std::string_view Data);
+  void onEnd();
+  void onFailed(const AttemptFailure &Failure);
+  void record(AttemptResult Result, std::optional<bool> Ok);
+  bool retry(AttemptOutcome Ended, bool Leaving);
+  void giveUp(Outcome Known, int Status, const std::string &Reason);
+  void over();
+  bool keyed() const;
+  bool unproven() const;
+
+  EntryContext &Shared;
+  std::shared_ptr<ServerExchange> Exchange;
+  /// A copy, because the state may change during the call.
+  RouteSpec Route;
+  CallClass Class;
+  Deadline Until;
+  std::function<void(EntryCall *)> OnOver;
+  std::shared_ptr<ForwardAttempt> Attempt;
+  std::optional<UpstreamDirectory::Chosen> Chosen;
+  std::vector<UpstreamHandle> Avoid;
+  RequestId Id;
+  std::optional<RequestId> NotRunId;
+  std::string Held;
+  bool AllHeld = true;
+  bool BodyComplete = false;
+  bool Started = false;
+  /// The chosen upstream counts this attempt as in flight.
+  bool Counted = false;
+  /// Waits for the response to an earlier request with the same key.
+  bool Attached = false;
+  bool HeadSent = false;
+  bool Discarding = false;
+  bool MayHaveRun = false;
+  bool BaselineTried = false;
+  bool CallerPaused = false;
+  std::uint32_t Attempts = 0;
+  Instant AttemptStart;
+  EventLoop::TimerId DeadlineTimer = 0;
+};
+
+} // namespace amaranthward
+
+#endif
--- /dev/null
+++ b/src/libproxy/entrycontext.h
@@ -0,0 +1,60 @@
+#ifndef AMARANTHWARD_LIBPROXY_ENTRYCONTEXT_H
+#define AMARANTHWARD_LIBPROXY_ENTRYCONTEXT_H
+
+#include "libnet/httpclient.h"
+#include "libpolicy/retrybudget.h"
+#include "libproxy/claimrequest.h"
+#include "libproxy/upstreamdirectory.h"
+#include "libproxy/versiondraw.h"
+
+namespace amaranthward {
+
+/// One attempt that reached an upstream, for the version analysis.
+struct AttemptReport {
+  ServiceName Service;
+  VersionName Version;
+  RouteName Route;
+  bool Ok = false;
+  Duration Latency{0};
+};
+
+struct EntryHooks {
+  std::function<void(const AttemptReport &)> OnAttempt;
+  /// Consulted before each forward of a request that is not idempotent and
+  /// has a key. Without it such requests are forwarded directly.
+  ClaimFunction Claim;
+};
+
+/// Counters of the entry role.
+struct EntryCounters {
+  std::uint64_t Calls = 0;
+  std::uint64_t Attempts = 0;
+  std::uint64_t Retries = 0;
+  std::uint64_t BaselineRetries = 0;
+  std::uint64_t Answered = 0;
+  std::uint64_t NotRun = 0;
+  std::uint64_t Unknown = 0;
+  std::uint64_t Cancelled = 0;
+};
+
+/// What all calls of one entry share.
+struct EntryContext {
+  EventLoop &Loop;
+  HttpClient &Client;
+  NodeIdentity Self;
+  EntryHooks Hooks;
+  RandomFunction Random;
+  ProxyState State;
+  UpstreamDirectory Directory;
+  ShareLimits Limits;
+  std::map<ServiceName, RetryBudget> Budgets;
+  EntryCounters Counters;
+  std::uint64_t LastSequence = 0;
+
+  RequestId nextId() { return {this->Self.Start, ++this->LastSequence}; }
+  RetryBudget *budget(const ServiceName &Service);
+};
+
+} // namespace amaranthward
+
+#endif
--- /dev/null
+++ b/src/libproxy/entryrole.cpp
@@ -0,0 +1,123 @@
+#include "libproxy/entryrole.h"
+
+namespace amaranthward {
+
+namespace {
+
+void refuse(ServerExchange &Exchange, int Status, const std::string &Reason) {
+  respond(Exchange, Status, "text/plain", Reason + "\n",
+          outcomeFields(Outcome::NotRun, Reason));
+}
+
+/// Time left by the caller's header; the longest time without one.
+Result<Duration> callerTimeLeft(const HttpHeaders &Headers) {
+  if (!Headers.has(header::DeadlineMs))
+    return Duration::max();
+  return Deadline::parseHeader(Headers.get(header::DeadlineMs));
+}
+
+} // namespace
+
+EntryRole::EntryRole(EventLoop &Loop, HttpClient &Client, EntryOptions Options,
+                     EntryHooks Hooks)
+    : Shared{Loop,
+             Client,
+             Options.Self,
+             std::move(Hooks),
+             Options.Random,
+             {},
+             UpstreamDirectory(Options.Self, Options.Random),
+             {},
+             {},
+             {},
+             0} {
+  this->Ticker = Loop.every(Options.SilenceCheck, [this] {
+    Instant Now = this->Shared.Loop.now();
+    std::vector<std::shared_ptr<EntryCall>> All;
+    All.reserve(this->Calls.size());
+    for (const auto &[Key, Each] : this->Calls)
+      All.push_back(Each);
+    for (const auto &Each : All)
+      Each->checkSilence(Now);
+  });
+}
+
+Result<std::unique_ptr<EntryRole>> EntryRole::create(EventLoop &Loop,
+                                                     HttpClient &Client,
+                                                     EntryOptions Options,
+                                                     EntryHooks Hooks) {
+  if (Options.Self.Node.empty())
+    return fail(ErrorCode::InvalidArgument, "the node has no name");
+  if (!Options.Random)
+    return fail(ErrorCode::InvalidArgument, "no source of random numbers");
+  return std::unique_ptr<EntryRole>(
+      new EntryRole(Loop, Client, std::move(Options), std::move(Hooks)));
+}
+
+EntryRole::~EntryRole() {
+  this->Shared.Loop.cancel(this->Ticker);
+  // The calls refer to the shared context.
+  this->Calls.clear();
+}
+
+void EntryRole::update(const ProxyState &State) {
+  this->Shared.State = State;
+  this->Shared.Directory.update(State, this->Shared.Loop.now());
+}
+
+void EntryRole::handle(std::shared_ptr<ServerExchange> Exchange) {
+  ++this->Shared.Counters.Calls;
+  const HttpRequestHead &Request = Exchange->request();
+  if (!this->Shared.State.View) {
+    refuse(*Exchange, 503, "no-configuration");
+    return;
+  }
+  const RouteSpec *Route = this->Shared.State.View->matchRoute(
+      Request.Method, pathOf(Request.Target));
+  if (!Route) {
+    refuse(*Exchange, 404, "no-route");
+    return;
+  }
+  auto Class = classOf(Route->Class, Request.Headers);
+  auto Left = callerTimeLeft(Request.Headers);
+  if (!Class || !Left) {
+    refuse(*Exchange, 400, (Class ? Left.error() : Class.error()).Message);
+    return;
+  }
+  Deadline Until =
+      Deadline::derive(this->Shared.Loop.now(), Route->Timeout, *Left);
+  auto Made = EntryCall::create(
+      this->Shared, std::move(Exchange), *Route, *Class, Until,
+      [this](EntryCall *Over) { this->Calls.erase(Over); });
+  this->Calls.emplace(Made.get(), Made);
+  Made->begin();
+}
+
+void EntryRole::limitShare(const ServiceName &Service,
+                           const VersionName &Version, Share Largest) {
+  if (Largest == Share::all())
+    this->Shared.Limits.erase({Service, Version});
+  else
+    this->Shared.Limits[{Service, Version}] = Largest;
+}
+
+Json EntryRole::dump() const {
+  const EntryCounters &Counts = this->Shared.Counters;
+  Json Limits = Json::object();
+  for (const auto &[Key, Part] : this->Shared.Limits)
+    Limits[Key.first.str()][Key.second.str()] = Part.parts();
+  return {{"revision", this->Shared.State.Applied.value()},
+          {"under_way", this->underWay()},
+          {"calls", Counts.Calls},
+          {"attempts", Counts.Attempts},
+          {"retries", Counts.Retries},
+          {"baseline_retries", Counts.BaselineRetries},
+          {"answered", Counts.Answered},
+          {"not_run", Counts.NotRun},
+          {"unknown", Counts.Unknown},
+          {"cancelled", Counts.Cancelled},
+          {"share_limits", Limits},
+          {"upstreams", this->Shared.Directory.dump(this->Shared.Loop.now())}};
+}
+
+} // namespace amaranthward
--- /dev/null
+++ b/src/libproxy/entryrole.h
@@ -0,0 +1,48 @@
+#ifndef AMARANTHWARD_LIBPROXY_ENTRYROLE_H
+#define AMARANTHWARD_LIBPROXY_ENTRYROLE_H
+
+#include "libproxy/entrycall.h"
+#include <unordered_map>
+
+namespace amaranthward {
+
+struct EntryOptions {
+  NodeIdentity Self;
+  RandomFunction Random = systemRandom();
+  /// How often silent connections are looked for.
+  Duration SilenceCheck = std::chrono::milliseconds(50);
+};
+
+/// Takes the calls of callers and forwards each to a gate.
+class EntryRole {
+public:
+  static Result<std::unique_ptr<EntryRole>> create(EventLoop &Loop,
+                                                   HttpClient &Client,
+                                                   EntryOptions Options,
+                                                   EntryHooks Hooks);
+  ~EntryRole();
+
+  void update(const ProxyState &State);
+  /// Any request on the callers' listener that is not the node's own.
+  void handle(std::shared_ptr<ServerExchange> Exchange);
+  /// Bounds the share of a version at this node; it never grows beyond the
+  /// split. Share::all() removes the bound.
+  void limitShare(const ServiceName &Service, const VersionName &Version,
+                  Share Largest);
+
+  std::size_t underWay() const { return this->Calls.size(); }
+  const EntryCounters &counters() const { return this->Shared.Counters; }
+  Json dump() const;
+
+private:
+  EntryRole(EventLoop &Loop, HttpClient &Client, EntryOptions Options,
+            EntryHooks Hooks);
+
+  EntryContext Shared;
+  std::unordered_map<EntryCall *, std::shared_ptr<EntryCall>> Calls;
+  EventLoop::TimerId Ticker = 0;
+};
+
+} // namespace amaranthward
+
+#endif
--- /dev/null
+++ b/src/libproxy/execution.cpp
@@ -0,0 +1,353 @@
+#include "libproxy/execution.h"
+#include "libpolicy/deadline.h"
+#include <algorithm>
+
+namespace amaranthward {
+
+namespace {
+
+constexpr int BadGateway = 502;
+constexpr int GatewayTimeout = 504;
+constexpr int FirstServerError = 500;
+
+} // namespace
+
+Execution::Execution(EventLoop &Loop, HttpClient &Client,
+                     ForwardedRequest Request, bool Idempotent, Hooks NewHooks)
+    : Loop(Loop), Client(Client), Request(std::move(Request)),
+      Idempotent(Idempotent), Callbacks(std::move(NewHooks)) {}
+
+std::shared_ptr<Execution> Execution::create(EventLoop &Loop,
+                                             HttpClient &Client,
+                                             ForwardedRequest Request,
+                                             bool Idempotent, Hooks NewHooks) {
+  std::shared_ptr<Execution> Made(new Execution(
+      Loop, Client, std::move(Request), Idempotent, std::move(NewHooks)));
+  Made->At = Loop.now() + Made->Request.TimeLeft;
+  std::weak_ptr<Execution> Self = Made;
+  Made->DeadlineTimer = Loop.after(Made->Request.TimeLeft, [Self] {
+    if (auto Kept = Self.lock())
+      Kept->cancel(GatewayTimeout, "deadline");
+  });
+  return Made;
+}
+
+Execution::~Execution() {
+  this->Loop.cancel(this->DeadlineTimer);
+  this->Loop.cancel(this->GraceTimer);
+  if (this->Upstream)
+    this->Upstream->cancel();
+}
+
+void Execution::begin(std::shared_ptr<ServerExchange> First) {
+  this->Source = First;
+  this->RequestComplete = First->request().BodyLength == std::uint64_t(0);
+  this->addWaiter(std::move(First), true);
+  if (!this->RequestComplete && this->Phase == State::Waiting)
+    this->Source->pauseBody();
+}
+
+void Execution::attach(std::shared_ptr<ServerExchange> Later) {
+  if (this->Phase == State::Finished) {
+    this->replay(Later);
+    return;
+  }
+  if (!this->RequestComplete) {
+    // The rest of the request can only come over the earlier connection,
+    // which the sender has given up.
+    this->cancel(BadGateway, "request-incomplete");
+    this->replay(Later);
+    return;
+  }
+  if (this->Released && !this->Kept) {
+    respond(*Later, BadGateway, "text/plain", "",
+            outcomeFields(Outcome::Unknown, "response-not-kept"));
+    return;
+  }
+  this->Loop.cancel(this->GraceTimer);
+  Later->sendInterim(102);
+  this->addWaiter(std::move(Later), false);
+}
+
+void Execution::addWaiter(std::shared_ptr<ServerExchange> Exchange,
+                          bool Source) {
+  std::weak_ptr<Execution> Self = this->weak_from_this();
+  const ServerExchange *Key = Exchange.get();
+  this->Waiters.push_back({Exchange});
+  if (this->Released) {
+    this->sendHeadTo(this->Waiters.back());
+    this->sendTo(this->Waiters.back(), this->Body);
+  }
+  ServerExchange::Hooks Hooks;
+  Hooks.OnAborted = [Self, Key, Source] {
+    if (auto Kept = Self.lock())
+      Kept->waiterGone(Key, Source);
+  };
+  Hooks.OnDrained = [Self, Key] {
+    if (auto Kept = Self.lock())
+      Kept->waiterDrained(Key);
+  };
+  if (Source) {
+    Hooks.OnBody = [Self](std::string_view Data) {
+      if (auto Kept = Self.lock())
+        Kept->onRequestBody(Data);
+    };
+    Hooks.OnBodyEnd = [Self] {
+      if (auto Kept = Self.lock())
+        Kept->onRequestEnd();
+    };
+  }
+  Exchange->setHooks(std::move(Hooks));
+}
+
+void Execution::waiterGone(const ServerExchange *Gone, bool WasSource) {
+  auto Self = this->shared_from_this();
+  std::erase_if(this->Waiters, [Gone](const Waiter &Each) {
+    return Each.Exchange.get() == Gone;
+  });
+  if (this->Phase == State::Finished)
+    return;
+  if (WasSource && !this->RequestComplete) {
+    this->cancel(BadGateway, "request-incomplete");
+    return;
+  }
+  this->updateBackPressure();
+  // A keyed request runs to its end, because a resend may ask for its result.
+  if (!this->Waiters.empty() || this->Request.Keyed)
+    return;
+  if (this->Idempotent) {
+    this->cancel(BadGateway, "cancelled");
+    return;
+  }
+  std::weak_ptr<Execution> Weak = Self;
+  this->GraceTimer = this->Loop.after(AttachGrace, [Weak] {
+    auto Kept = Weak.lock();
+    if (Kept && Kept->Waiters.empty())
+      Kept->cancel(BadGateway, "cancelled");
+  });
+}
+
+void Execution::waiterDrained(const ServerExchange *Drained) {
+  for (Waiter &Each : this->Waiters)
+    if (Each.Exchange.get() == Drained)
+      Each.Blocked = false;
+  this->updateBackPressure();
+}
+
+void Execution::start(const Endpoint &Address) {
+  this->Phase = State::Running;
+  this->WasStarted = true;
+  HttpRequestHead Out;
+  const HttpRequestHead &In = this->Source->request();
+  Out.Method = In.Method;
+  Out.Target = In.Target;
+  Out.BodyLength = In.BodyLength;
+  Out.Headers = endToEnd(In.Headers);
+  Instant Now = this->Loop.now();
+  Out.Headers.set(header::DeadlineMs,
+                  Deadline(this->At).forNextHop(Now).toHeader(Now));
+  Out.Headers.set(header::Class, In.Headers.get(header::Class));
+  this->RequestSent = Now;
+  this->Upstream = this->Client.send(Address, Out, this->upstreamHooks());
+  if (!this->RequestComplete)
+    this->Source->resumeBody();
+}
+
+void Execution::onRequestBody(std::string_view Data) {
+  if (this->Phase == State::Running && !this->Upstream->sendBody(Data))
+    this->Source->pauseBody();
+}
+
+void Execution::onRequestEnd() {
+  this->RequestComplete = true;
+  this->RequestSent = this->Loop.now();
+  if (this->Phase == State::Running)
+    this->Upstream->finishBody();
+}
+
+ClientExchange::Hooks Execution::upstreamHooks() {
+  std::weak_ptr<Execution> Self = this->weak_from_this();
+  ClientExchange::Hooks Hooks;
+  Hooks.OnHead = [Self](const HttpResponseHead &Received) {
+    if (auto Kept = Self.lock())
+      Kept->onHead(Received);
+  };
+  Hooks.OnBody = [Self](std::string_view Data) {
+    if (auto Kept = Self.lock())
+      Kept->onBody(Data);
+  };
+  Hooks.OnEnd = [Self] {
+    if (auto Kept = Self.lock())
+      Kept->onEnd();
+  };
+  Hooks.OnFailure = [Self](const ClientFailure &Failure) {
+    if (auto Kept = Self.lock())
+      Kept->onFailure(Failure);
+  };
+  Hooks.OnDrained = [Self] {
+    auto Kept = Self.lock();
+    if (Kept && Kept->Source && !Kept->RequestComplete)
+      Kept->Source->resumeBody();
+  };
+  return Hooks;
+}
+
+void Execution::onHead(const HttpResponseHead &Received) {
+  this->UpstreamTime = this->Loop.now() - this->RequestSent;
+  this->Head = Received;
+  this->Head.Headers = endToEnd(Received.Headers);
+  this->Head.Headers.set(header::Outcome, toString(Outcome::Answered));
+  this->Head.Headers.set(header::Load, this->Callbacks.Load());
+}
+
+void Execution::onBody(std::string_view Data) {
+  if (this->Kept)
+    this->Body.append(Data);
+  if (this->Released) {
+    for (Waiter &Each : this->Waiters)
+      this->sendTo(Each, Data);
+  } else if (this->Body.size() > HeldResponse) {
+    this->release();
+  }
+  if (this->Body.size() > KeptResponse)
+    this->dropResponse();
+  this->updateBackPressure();
+}
+
+void Execution::onEnd() {
+  auto Self = this->shared_from_this();
+  if (!this->Released)
+    this->release();
+  for (const Waiter &Each : std::exchange(this->Waiters, {}))
+    Each.Exchange->finish();
+  this->finish(Outcome::Answered, 0, "",
+               this->Head.Status >= FirstServerError ? UpstreamResult::Failure
+                                                     : UpstreamResult::Success);
+}
+
+void Execution::onFailure(const ClientFailure &Failure) {
+  auto Self = this->shared_from_this();
+  if (!Failure.BytesSent)
+    this->finish(Outcome::NotRun, 503, "upstream-unreachable",
+                 UpstreamResult::Failure);
+  else
+    this->finish(Outcome::Unknown, BadGateway, "upstream-broke",
+                 UpstreamResult::Failure);
+}
+
+void Execution::refuse(int Status, const std::string &Reason) {
+  auto Self = this->shared_from_this();
+  if (this->Phase == State::Waiting)
+    this->finish(Outcome::NotRun, Status, Reason, UpstreamResult::Cancelled);
+}
+
+void Execution::cancel(int Status, const std::string &Reason) {
+  auto Self = this->shared_from_this();
+  if (this->Phase == State::Finished)
+    return;
+  bool MayHaveRun = this->Upstream && this->Upstream->bytesSent();
+  this->finish(MayHaveRun ? Outcome::Unknown : Outcome::NotRun, Status, Reason,
+               Reason == "deadline" ? UpstreamResult::Failure
+                                    : UpstreamResult::Cancelled);
+}
+
+void Execution::sendHeartbeats() {
+  for (const Waiter &Each : this->Waiters)
+    if (!Each.HeadSent)
+      Each.Exchange->sendInterim(102);
+}
+
+void Execution::dropResponse() {
+  this->Kept = false;
+  std::string().swap(this->Body);
+}
+
+void Execution::release() {
+  this->Released = true;
+  for (Waiter &Each : this->Waiters) {
+    this->sendHeadTo(Each);
+    this->sendTo(Each, this->Body);
+  }
+}
+
+void Execution::sendHeadTo(Waiter &One) {
+  One.HeadSent = true;
+  One.Exchange->sendHead(this->Head);
+}
+
+void Execution::sendTo(Waiter &One, std::string_view Data) {
+  if (!One.Exchange->sendBody(Data))
+    One.Blocked = true;
+}
+
+void Execution::updateBackPressure() {
+  if (!this->Upstream || this->Phase != State::Running)
+    return;
+  // With several waiters a slow one would hold up the others.
+  if (this->Waiters.size() > 1) {
+    auto Blocked =
+        std::stable_partition(this->Waiters.begin(), this->Waiters.end(),
+                              [](const Waiter &Each) { return !Each.Blocked; });
+    std::vector<Waiter> Slow(std::make_move_iterator(Blocked),
+                             std::make_move_iterator(this->Waiters.end()));
+    this->Waiters.erase(Blocked, this->Waiters.end());
+    if (this->Waiters.empty() && !Slow.empty()) {
+      this->Waiters.push_back(std::move(Slow.back()));
+      Slow.pop_back();
+    }
+    for (const Waiter &Each : Slow)
+      Each.Exchange->abort();
+  }
+  bool Blocked = std::any_of(this->Waiters.begin(), this->Waiters.end(),
+                             [](const Waiter &Each) { return Each.Blocked; });
+  if (Blocked)
+    this->Upstream->pauseBody();
+  else
+    this->Upstream->resumeBody();
+}
+
+void Execution::finish(Outcome Ended, int Status, const std::string &Reason,
+                       UpstreamResult Result) {
+  this->Phase = State::Finished;
+  this->Known = Ended;
+  this->FailureStatus = Status;
+  this->FailureReason = Reason;
+  this->Loop.cancel(this->DeadlineTimer);
+  this->Loop.cancel(this->GraceTimer);
+  if (auto Old = std::move(this->Upstream))
+    Old->cancel();
+  if (Ended != Outcome::Answered)
+    this->dropResponse();
+  for (const Waiter &Each : std::exchange(this->Waiters, {})) {
+    if (Each.HeadSent)
+      Each.Exchange->abort();
+    else
+      this->answerFailure(*Each.Exchange);
+  }
+  this->Source.reset();
+  if (auto Done = std::move(this->Callbacks.OnFinished))
+    Done(*this, Result, this->UpstreamTime);
+}
+
+void Execution::answerFailure(ServerExchange &Exchange) {
+  HttpHeaders Extra = outcomeFields(this->Known, this->FailureReason);
+  Extra.add(header::Load, this->Callbacks.Load());
+  respond(Exchange, this->FailureStatus, "text/plain", "", std::move(Extra));
+}
+
+void Execution::replay(const std::shared_ptr<ServerExchange> &Exchange) {
+  if (this->Known != Outcome::Answered) {
+    this->answerFailure(*Exchange);
+    return;
+  }
+  if (!this->Kept) {
+    respond(*Exchange, BadGateway, "text/plain", "",
+            outcomeFields(Outcome::Unknown, "response-not-kept"));
+    return;
+  }
+  Exchange->sendHead(this->Head);
+  Exchange->sendBody(this->Body);
+  Exchange->finish();
+}
+
+} // namespace amaranthward
--- /dev/null
+++ b/src/libproxy/gaterole.cpp
@@ -0,0 +1,350 @@
+#include "libproxy/gaterole.h"
+#include <algorithm>
+
+namespace amaranthward {
+
+namespace {
+
+constexpr int Unavailable = 503;
+constexpr int BadGateway = 502;
+constexpr std::size_t MaxAnnouncement = 4096;
+
+} // namespace
+
+GateRole::GateRole(EventLoop &Loop, HttpClient &Client, GateOptions Options,
+                   GateHooks Hooks)
+    : Loop(Loop), Client(Client), Options(std::move(Options)),
+      Hooks(std::move(Hooks)) {
+  this->Ticker = Loop.every(this->Options.Heartbeat, [this] { this->tick(); });
+}
+
+Result<std::unique_ptr<GateRole>> GateRole::create(EventLoop &Loop,
+                                                   HttpClient &Client,
+                                                   GateOptions Options,
+                                                   GateHooks Hooks) {
+  if (Options.Self.Node.empty())
+    return fail(ErrorCode::InvalidArgument, "the node has no name");
+  if (Options.Heartbeat <= Duration(0))
+    return fail(ErrorCode::InvalidArgument, "the heartbeat must be positive");
+  return std::unique_ptr<GateRole>(
+      new GateRole(Loop, Client, std::move(Options), std::move(Hooks)));
+}
+
+GateRole::~GateRole() {
+  this->Loop.cancel(this->Ticker);
+  this->Loop.cancel(this->Wake);
+  auto Running = std::move(this->UnderWay);
+  this->UnderWay.clear();
+  for (const auto &[Id, Each] : Running)
+    Each->cancel(BadGateway, "stopped");
+}
+
+void GateRole::update(const ProxyState &NewState) {
+  this->State = NewState;
+  bool Out = this->State.View &&
+             !this->State.View->zoneInService(this->Options.Self.Zone);
+  if (Out != this->ZoneOut && this->Admission) {
+    if (Out)
+      this->Admission->leave(this->Loop.now());
+    else if (!this->Current->Leaving)
+      this->Admission->restore(this->Loop.now());
+    this->scheduleWake();
+  }
+  this->ZoneOut = Out;
+  if (!this->Current || !this->UnderWay.empty())
+    return;
+  // The limits of the set apply to an upstream that announced itself earlier;
+  // one that is warm keeps its measurements and the limits it started with.
+  AdmissionSettings Wanted = this->admissionSettings();
+  bool Changed = Wanted.Slots != this->Limits.Slots ||
+                 Wanted.Queue != this->Limits.Queue ||
+                 Wanted.WarmUp != this->Limits.WarmUp;
+  if (Changed &&
+      this->Admission->status(this->Loop.now()).Phase == WarmthPhase::Cold) {
+    this->createAdmission();
+    if (Out || this->Current->Leaving)
+      this->Admission->leave(this->Loop.now());
+  }
+}
+
+void GateRole::handle(std::shared_ptr<ServerExchange> Exchange) {
+  auto Request = parseForwarded(Exchange->request().Headers);
+  if (!Request) {
+    this->refuse(*Exchange, 400, Outcome::NotRun, Request.error().Message);
+    return;
+  }
+  bool SameStart = Request->Gate == this->Options.Self.Start;
+  if (Request->Attach && !SameStart)
+    this->refuse(*Exchange, BadGateway, Outcome::Unknown, "gate-restarted");
+  else if (!SameStart)
+    this->refuse(*Exchange, Unavailable, Outcome::NotRun, "gate-restarted");
+  else if (auto Known = this->Table.find(Request->Id))
+    Known->attach(Exchange);
+  else if (Request->Attach)
+    this->attach(*Request, Exchange);
+  else
+    this->admit(std::move(*Request), std::move(Exchange));
+}
+
+void GateRole::attach(const ForwardedRequest &Request,
+                      const std::shared_ptr<ServerExchange> &Exchange) {
+  // The first arrival may still be on its way; it is refused from now on.
+  if (this->Table.block(Request.Id, this->Loop.now()))
+    this->refuse(*Exchange, Unavailable, Outcome::NotRun, "never-arrived");
+  else
+    this->refuse(*Exchange, BadGateway, Outcome::Unknown, "forgotten");
+}
+
+std::string GateRole::refusal(const ForwardedRequest &Request) const {
+  if (this->Table.blocked(Request.Id))
+    return "given-up";
+  if (this->Draining)
+    return "leaving";
+  if (!this->Current)
+    return "no-upstream";
+  if (this->Current->Leaving)
+    return "leaving";
+  if (Request.Version != this->Current->Version)
+    return "other-version";
+  if (!this->State.View || this->State.Applied <= Request.Sender)
+    return "";
+  if (this->ZoneOut)
+    return "zone-out";
+  return this->versionOut(Request.Version) ? "version-out" : "";
+}
+
+bool GateRole::versionOut(const VersionName &Version) const {
+  const ServiceName &Service = this->Current->Service;
+  if (this->State.View->isBad(Service, Version))
+    return true;
+  // The baseline of an open move takes retries even at a share of 0.
+  const Json *Move = this->State.View->openMove(Service);
+  if (Move && textAt(*Move, "baseline") == Version.str())
+    return false;
+  const auto &Split = this->State.View->split(Service);
+  auto Found = Split.find(Version);
+  return Found == Split.end() || Found->second == Share::none();
+}
+
+void GateRole::admit(ForwardedRequest Request,
+                     std::shared_ptr<ServerExchange> Exchange) {
+  if (std::string Reason = this->refusal(Request); !Reason.empty()) {
+    ++this->Refusals[Reason];
+    this->refuse(*Exchange, Unavailable, Outcome::NotRun, Reason);
+    return;
+  }
+  const RouteSpec *Route =
+      this->State.View ? this->State.View->route(Request.Route) : nullptr;
+  bool Idempotent = Route && Route->Idempotent;
+  Instant Now = this->Loop.now();
+  AdmissionActions Actions;
+  AdmissionDecision Decision = this->Admission->request(
+      {Request.Class, Now + Request.TimeLeft, Request.Route, Idempotent}, Now,
+      Actions);
+  if (Decision.Verdict == AdmissionVerdict::Refuse) {
+    ++this->Refusals[toString(Decision.Reason)];
+    this->refuse(*Exchange, Unavailable, Outcome::NotRun,
+                 toString(Decision.Reason));
+  } else {
+    Execution::Hooks Callbacks;
+    Callbacks.OnFinished = [this](Execution &Ended, UpstreamResult Result,
+                                  std::optional<Duration> Time) {
+      this->onFinished(Ended, Result, Time);
+    };
+    Callbacks.Load = [this] { return this->load(); };
+    auto Made = Execution::create(this->Loop, this->Client, std::move(Request),
+                                  Idempotent, std::move(Callbacks));
+    Made->Ticket = Decision.Ticket;
+    this->Tickets[Decision.Ticket] = Made;
+    this->UnderWay[Made->request().Id] = Made;
+    this->Table.add(Made);
+    ++this->Admitted;
+    Made->begin(std::move(Exchange));
+    if (Decision.Verdict == AdmissionVerdict::Admit)
+      Made->start(this->Current->Address);
+  }
+  this->apply(Actions);
+  this->scheduleWake();
+}
+
+void GateRole::refuse(ServerExchange &Exchange, int Status, Outcome Known,
+                      const std::string &Reason) const {
+  HttpHeaders Extra = outcomeFields(Known, Reason);
+  if (this->Admission)
+    Extra.add(header::Load, this->load());
+  respond(Exchange, Status, "text/plain", "", std::move(Extra));
+}
+
+void GateRole::onFinished(Execution &Ended, UpstreamResult Result,
+                          std::optional<Duration> UpstreamTime) {
+  Instant Now = this->Loop.now();
+  Duration KeyedTime = MeshLimits().IdempotencyRetention;
+  if (this->State.View)
+    KeyedTime = this->State.View->limits().IdempotencyRetention;
+  this->Table.finished(Ended, KeyedTime, Now);
+  this->UnderWay.erase(Ended.request().Id);
+  auto Found = this->Tickets.find(Ended.Ticket);
+  if (Found == this->Tickets.end() || Found->second.get() != &Ended)
+    return;
+  this->Tickets.erase(Found);
+  if (Ended.started())
+    this->apply(
+        this->Admission->complete(Ended.Ticket, Result, UpstreamTime, Now));
+  else
+    this->Admission->cancelQueued(Ended.Ticket);
+  this->scheduleWake();
+}
+
+void GateRole::apply(const AdmissionActions &Actions) {
+  auto Take = [this](AdmissionTicket Ticket) {
+    auto Found = this->Tickets.find(Ticket);
+    return Found == this->Tickets.end() ? nullptr : Found->second;
+  };
+  for (AdmissionTicket Each : Actions.Start) {
+    auto Waiting = Take(Each);
+    if (Waiting && this->Current)
+      Waiting->start(this->Current->Address);
+    else if (this->Admission)
+      this->Admission->complete(Each, UpstreamResult::Cancelled, std::nullopt,
+                                this->Loop.now());
+  }
+  for (const AdmissionActions::Refusal &Each : Actions.Refused)
+    if (auto Waiting = Take(Each.Ticket)) {
+      ++this->Refusals[toString(Each.Reason)];
+      Waiting->refuse(Unavailable, toString(Each.Reason));
+    }
+  for (AdmissionTicket Each : Actions.Cancel)
+    if (auto Running = Take(Each))
+      Running->cancel(Unavailable, "cold");
+}
+
+void GateRole::scheduleWake() {
+  this->Loop.cancel(this->Wake);
+  std::optional<Instant> Next =
+      this->Admission ? this->Admission->nextWake() : std::nullopt;
+  if (!Next)
+    return;
+  this->Wake = this->Loop.after(*Next - this->Loop.now(), [this] {
+    if (this->Admission)
+      this->apply(this->Admission->advance(this->Loop.now()));
+    this->scheduleWake();
+  });
+}
+
+void GateRole::announce(const UpstreamAnnouncement &Upstream) {
+  this->LastAnnounced = this->Loop.now();
+  if (this->Current == Upstream)
+    return;
+  bool Replaced = !this->Current ||
+                  this->Current->Address != Upstream.Address ||
+                  this->Current->Service != Upstream.Service ||
+                  this->Current->Version != Upstream.Version ||
+                  this->Current->Slots != Upstream.Slots;
+  bool WasLeaving = this->Current && this->Current->Leaving;
+  this->Current = Upstream;
+  if (Replaced)
+    this->createAdmission();
+  if (Upstream.Leaving || this->ZoneOut)
+    this->Admission->leave(this->LastAnnounced);
+  else if (WasLeaving)
+    this->Admission->restore(this->LastAnnounced);
+  this->scheduleWake();
+  if (this->Hooks.OnUpstream)
+    this->Hooks.OnUpstream(this->Current);
+}
+
+AdmissionSettings GateRole::admissionSettings() const {
+  AdmissionSettings Settings;
+  Settings.Slots = this->Current->Slots;
+  const ServiceSpec *Service =
+      this->State.View ? this->State.View->service(this->Current->Service)
+                       : nullptr;
+  if (Service) {
+    Settings.Slots = std::min(Settings.Slots, Service->Limits.Slots);
+    Settings.Queue = Service->Limits.Queue;
+    Settings.WarmUp = Service->Limits.WarmUp;
+  }
+  return Settings;
+}
+
+void GateRole::createAdmission() {
+  AdmissionSettings Settings = this->admissionSettings();
+  auto Made = AdmissionControl::create(Settings);
+  if (!Made)
+    return;
+  // Waiting requests were admitted for the previous upstream.
+  for (const auto &[Id, Each] : std::map(this->UnderWay))
+    Each->refuse(Unavailable, "upstream-replaced");
+  this->Tickets.clear();
+  this->Limits = Settings;
+  this->Admission.emplace(std::move(*Made));
+}
+
+void GateRole::handleAnnounce(std::shared_ptr<ServerExchange> Exchange) {
+  readBody(Exchange, MaxAnnouncement, [this](auto Done, std::string Text) {
+    auto Body = parseJson(Text);
+    auto Parsed =
+        Body ? UpstreamAnnouncement::parse(*Body)
+             : Result<UpstreamAnnouncement>(tl::make_unexpected(Body.error()));
+    if (!Parsed) {
+      respondJson(*Done, 400, {{"error", Parsed.error().Message}});
+      return;
+    }
+    this->announce(*Parsed);
+    respondJson(*Done, 200, Json::object());
+  });
+}
+
+void GateRole::withdraw() {
+  this->Current.reset();
+  for (const auto &[Id, Each] : std::map(this->UnderWay))
+    Each->refuse(Unavailable, "no-upstream");
+  if (this->Hooks.OnUpstream)
+    this->Hooks.OnUpstream(std::nullopt);
+}
+
+void GateRole::drain() { this->Draining = true; }
+
+void GateRole::tick() {
+  Instant Now = this->Loop.now();
+  if (this->Current &&
+      Now - this->LastAnnounced > this->Options.AnnouncementLife)
+    this->withdraw();
+  for (const auto &[Id, Each] : this->UnderWay)
+    Each->sendHeartbeats();
+  this->Table.expire(Now);
+}
+
+std::string GateRole::load() const {
+  if (!this->Admission)
+    return "0/0";
+  AdmissionStatus Status = this->Admission->status(this->Loop.now());
+  return std::to_string(Status.InFlight + Status.Queued) + "/" +
+         std::to_string(Status.Limit);
+}
+
+Json GateRole::dump() const {
+  Json All = {{"under_way", this->underWay()},
+              {"admitted", this->Admitted},
+              {"refusals", this->Refusals},
+              {"draining", this->Draining},
+              {"zone_out", this->ZoneOut},
+              {"requests_known", this->Table.size()},
+              {"response_bytes_kept", this->Table.responseBytes()}};
+  if (this->Current)
+    All["upstream"] = {{"service", this->Current->Service.str()},
+                       {"version", this->Current->Version.str()},
+                       {"address", this->Current->Address.str()},
+                       {"slots", this->Current->Slots},
+                       {"leaving", this->Current->Leaving}};
+  if (this->Admission) {
+    AdmissionStatus Status = this->Admission->status(this->Loop.now());
+    All["admission"] = {{"limit", Status.Limit},
+                        {"in_flight", Status.InFlight},
+                        {"queued", Status.Queued},
+                        {"cold_again", Status.ColdAgain}};
+  }
+  return All;
+}
+
+} // namespace amaranthward
--- /dev/null
+++ b/src/libproxy/gaterole.h
@@ -0,0 +1,94 @@
+#ifndef AMARANTHWARD_LIBPROXY_GATEROLE_H
+#define AMARANTHWARD_LIBPROXY_GATEROLE_H
+
+#include "libproxy/announcement.h"
+#include "libproxy/proxystate.h"
+#include "libproxy/requesttable.h"
+
+namespace amaranthward {
+
+struct GateOptions {
+  NodeIdentity Self;
+  /// An upstream that does not announce itself for this time is withdrawn.
+  Duration AnnouncementLife = std::chrono::seconds(3);
+  /// Time between interim responses to a waiting entry.
+  Duration Heartbeat = std::chrono::milliseconds(200);
+};
+
+struct GateHooks {
+  /// The announced upstream changed; none when it is withdrawn.
+  std::function<void(const std::optional<UpstreamAnnouncement> &)> OnUpstream;
+};
+
+/// Protects the upstream beside this node: decides on each forwarded request
+/// and runs it at most once.
+class GateRole {
+public:
+  static Result<std::unique_ptr<GateRole>> create(EventLoop &Loop,
+                                                  HttpClient &Client,
+                                                  GateOptions Options,
+                                                  GateHooks Hooks);
+  ~GateRole();
+
+  void update(const ProxyState &State);
+  /// A forwarded request, recognised by its request id header.
+  void handle(std::shared_ptr<ServerExchange> Exchange);
+  void announce(const UpstreamAnnouncement &Upstream);
+  /// POST /v1/announce.
+  void handleAnnounce(std::shared_ptr<ServerExchange> Exchange);
+
+  /// Refuses new requests from now on; requests under way finish.
+  void drain();
+  /// Requests that wait for admission or run.
+  std::size_t underWay() const { return this->UnderWay.size(); }
+  const std::optional<UpstreamAnnouncement> &upstream() const {
+    return this->Current;
+  }
+  Json dump() const;
+
+private:
+  GateRole(EventLoop &Loop, HttpClient &Client, GateOptions Options,
+           GateHooks Hooks);
+  void attach(const ForwardedRequest &Request,
+              const std::shared_ptr<ServerExchange> &Exchange);
+  void admit(ForwardedRequest Request,
+             std::shared_ptr<ServerExchange> Exchange);
+  /// Why the request must not run here; empty when it may.
+  std::string refusal(const ForwardedRequest &Request) const;
+  bool versionOut(const VersionName &Version) const;
+  void refuse(ServerExchange &Exchange, int Status, Outcome Known,
+              const std::string &Reason) const;
+  void onFinished(Execution &Ended, UpstreamResult Result,
+                  std::optional<Duration> UpstreamTime);
+  void apply(const AdmissionActions &Actions);
+  void scheduleWake();
+  AdmissionSettings admissionSettings() const;
+  void createAdmission();
+  void withdraw();
+  void tick();
+  std::string load() const;
+
+  EventLoop &Loop;
+  HttpClient &Client;
+  GateOptions Options;
+  GateHooks Hooks;
+  ProxyState State;
+  RequestTable Table;
+  std::optional<UpstreamAnnouncement> Current;
+  Instant LastAnnounced;
+  std::optional<AdmissionControl> Admission;
+  AdmissionSettings Limits;
+  std::map<RequestId, std::shared_ptr<Execution>> UnderWay;
+  /// Requests known to the current admission control.
+  std::map<AdmissionTicket, std::shared_ptr<Execution>> Tickets;
+  EventLoop::TimerId Wake = 0;
+  EventLoop::TimerId Ticker = 0;
+  bool Draining = false;
+  bool ZoneOut = false;
+  std::map<std::string, std::uint64_t> Refusals;
+  std::uint64_t Admitted = 0;
+};
+
+} // namespace amaranthward
+
+#endif
