--- a/util/mesh.py
+++ b/util/mesh.py
@@ -132,7 +132,7 @@
         self.spawn(f"upstream-{i}", [
             UPSTREAM, f"--listen=127.0.0.1:{self.upstream_port(i)}",
             f"--announce=127.0.0.1:{self.local_port(i)}",
-            f"--service={upstream.service}", f"--version={upstream.version}",
+            f"--service={upstream.service}", f"--service_version={upstream.version}",
             *flags])
 
     def start_all(self):
@@ -148,7 +148,7 @@
             file.write(text)
         return path
 
-    def signal(self, name, number):
+    def send_signal(self, name, number):
         self.processes[name].send_signal(number)
 
     def stop(self, name, number=signal.SIGTERM, seconds=10):
