--- a/util/mesh.py
+++ b/util/mesh.py
@@ -37,7 +37,7 @@
     while time.monotonic() < end:
         try:
             value = condition()
-        except (OSError, http.client.HTTPException, ValueError):
+        except (OSError, http.client.HTTPException, ValueError, TypeError):
             value = None
         if value:
             return value
@@ -175,6 +175,27 @@
             capture_output=True, text=True, timeout=timeout, check=False)
         return done.returncode, done.stdout, done.stderr
 
+    def submit(self, text, first=0):
+        """Posts a set, following the replicas to the leader. Returns the
+        status code and the answer, or (0, None) when no replica answered."""
+        ports = [self.control_port((first + n) % self.replicas)
+                 for n in range(self.replicas)]
+        answer = (0, None)
+        for port in ports:
+            connection = http.client.HTTPConnection("127.0.0.1", port,
+                                                    timeout=5)
+            try:
+                connection.request("POST", "/v1/configurations", body=text)
+                response = connection.getresponse()
+                answer = (response.status, json.loads(response.read()))
+            except (OSError, http.client.HTTPException):
+                continue
+            finally:
+                connection.close()
+            if response.status not in (421, 503):
+                return answer
+        return answer
+
     def status(self):
         for replica in range(self.replicas):
             try:
