--- a/src/libconsensus/replicatorsend.cpp
+++ b/src/libconsensus/replicatorsend.cpp
@@ -15,7 +15,8 @@
 void Replicator::sendTo(const DiskIdentity &Disk, Progress &Peer,
                         bool Heartbeat) {
   auto Newest = this->Core.snapshot();
-  bool Behind = !this->Core.termAt(LogIndex(Peer.Next.value() - 1));
+  bool Behind = Peer.Next < this->Core.log().firstIndex() ||
+                !this->Core.termAt(LogIndex(Peer.Next.value() - 1));
   bool Paused = this->Core.now() < Peer.PausedUntil;
   if (Behind && !Peer.Sending && Newest && !Paused) {
     Peer.Sending = Newest;
--- a/tests/libconsensus/testcluster.cpp
+++ b/tests/libconsensus/testcluster.cpp
@@ -186,6 +186,7 @@
     this->runUntil([&Open] { return Open->Settled; });
     if (Open->Value)
       return true;
+    this->run(std::chrono::milliseconds(200));
   }
   return false;
 }
