--- a/src/libconsensus/election.cpp
+++ b/src/libconsensus/election.cpp
@@ -4,13 +4,24 @@
 
 namespace amaranthward {
 
+namespace {
+
+/// A campaign without a majority is repeated after this part of the election
+/// time-out: the leader is known to be gone, so only answers are awaited.
+constexpr int CampaignDivisor = 2;
+
+} // namespace
+
 Election::Election(ReplicaCore &Core, std::function<void()> OnElected)
     : Core(Core), OnElected(std::move(OnElected)) {
   this->resetTimer();
 }
 
 void Election::resetTimer() {
-  Duration Timeout = this->Core.options().ElectionTimeout;
+  this->resetTimer(this->Core.options().ElectionTimeout);
+}
+
+void Election::resetTimer(Duration Timeout) {
   auto Spread = static_cast<std::uint64_t>(Timeout.count());
   auto Extra = this->Core.hooks().Random() % (Spread + 1);
   this->Deadline =
@@ -38,7 +49,7 @@
   if (this->Core.isLeader() || this->Core.now() < this->Deadline)
     return;
   this->resetTimer();
-  if (!this->Core.leader().empty())
+  if (!this->Core.leader().empty() || !this->Core.isVoter())
     this->Core.becomeFollower(ReplicaName());
   // A replica whose disk is not in the voter set may have lost entries that
   // it once acknowledged; it neither campaigns nor counts.
@@ -62,6 +73,7 @@
 
 void Election::startPreVote() {
   this->Core.becomeCandidate(Role::PreCandidate);
+  this->resetTimer(this->Core.options().ElectionTimeout / CampaignDivisor);
   this->Granted = {this->Core.identity()};
   if (this->won())
     return this->startElection(/*Transfer=*/false);
@@ -76,7 +88,7 @@
     return;
   }
   this->Core.becomeCandidate(Role::Candidate);
-  this->resetTimer();
+  this->resetTimer(this->Core.options().ElectionTimeout / CampaignDivisor);
   this->Granted = {this->Core.identity()};
   if (this->won()) {
     this->Core.becomeLeader();
@@ -93,10 +105,21 @@
   return LastIndex >= this->Core.log().lastIndex();
 }
 
+bool Election::hasSameLog(const Json &Message) const {
+  return Term(numberAt(Message, "last_term")) == this->Core.lastTerm() &&
+         LogIndex(numberAt(Message, "last_index")) ==
+             this->Core.log().lastIndex();
+}
+
 void Election::receivePreVote(const ReplicaName &From, const Json &Message) {
   Term Next(numberAt(Message, "next_term"));
+  // Of two replicas that campaign at the same time one gives way; otherwise
+  // each would vote for itself and both would wait for another time-out.
+  bool Rival = this->Core.role() == Role::PreCandidate &&
+               this->Core.identity().str() < textAt(Message, "from");
   bool Grant = !this->hasLiveLeader() && Next > this->Core.term() &&
-               this->hasCurrentLog(Message);
+               this->hasCurrentLog(Message) &&
+               !(Rival && this->hasSameLog(Message));
   this->Core.send(From, DiskIdentity(textAt(Message, "from")),
                   wire::PreVoteReply,
                   {{"granted", Grant}, {"next_term", Next.value()}});
--- a/src/libconsensus/election.h
+++ b/src/libconsensus/election.h
@@ -31,10 +31,13 @@
 
 private:
   void resetTimer();
+  /// Draws a time from one to two times \a Timeout.
+  void resetTimer(Duration Timeout);
   void startPreVote();
   void startElection(bool Transfer);
   void requestVotes(const char *Type, Json Body);
   bool hasCurrentLog(const Json &Message) const;
+  bool hasSameLog(const Json &Message) const;
   bool won() const;
 
   ReplicaCore &Core;
