--- a/src/libnet/serverconnection.h
+++ b/src/libnet/serverconnection.h
@@ -21,7 +21,7 @@
   };
 
   static std::shared_ptr<ServerConnection>
-  create(EventLoop &Loop, Poco::Net::StreamSocket Socket, Endpoint Peer,
+  create(EventLoop &Loop, const Poco::Net::StreamSocket &Socket, Endpoint Peer,
          const HttpServerLimits &Limits, std::shared_ptr<const Owner> Server);
 
   /// Closes the connection when its current phase took too long.
@@ -57,6 +57,8 @@
   bool pumpBody();
   void startRequest(HttpRequestHead Head);
   void refuse(int Status, const std::string &Message);
+  /// Discards the rest of the request body; false when it has not arrived.
+  bool skipReceivedBody();
   void endResponse();
   void updateReads();
   std::string_view unread() const;
