--- a/bench/policy/movesession.cpp
+++ b/bench/policy/movesession.cpp
@@ -87,7 +87,6 @@
   while (!this->isOver()) {
     this->Now += Tick;
     this->serveCalls();
-    this->shadow();
     this->sendReports();
     this->deliver();
     if (this->Now.count() % DecisionInterval.count() == 0)
@@ -158,11 +157,14 @@
   if (IsCandidate && this->isFaulty(Route)) {
     Failures += (1 - Failures) * this->Of.Bad->FailureRate;
     Slowing *= this->Of.Bad->SlowFactor;
-    this->countFault(Node, Route);
   }
   Duration Latency = this->Latencies.draw(this->Numbers);
   Latency = Duration(static_cast<Duration::rep>(Latency.count() * Slowing));
   At.count(Route, IsCandidate, this->Numbers.chance(Failures), Latency);
+  if (IsCandidate && this->isFaulty(Route)) {
+    this->countFault(Node, Route);
+    this->shadow();
+  }
   ++this->Result.AllCalls;
   this->Result.CandidateCalls += IsCandidate ? 1 : 0;
   this->CandidateCallsInSecond += IsCandidate ? 1 : 0;
@@ -315,13 +317,16 @@
 }
 
 void MoveSession::shadow() {
-  if (this->Result.BadUntilEvidence || this->LastBadAt == Duration::zero())
+  if (this->Result.BadUntilEvidence)
     return;
   if (!this->Shadow)
     this->Shadow = this->Analysis;
   const AnalysisVerdict &Verdict =
       this->Shadow->step(Instant(this->Now), this->trueTotals());
-  if (Verdict.Kind == Judgement::Bad || Verdict.Kind == Judgement::Suspect)
+  bool IsHalved =
+      Verdict.Kind == Judgement::Suspect &&
+      this->State->shareOf(SessionNode::candidate()) > LargestDoubtfulShare;
+  if (Verdict.Kind == Judgement::Bad || IsHalved)
     this->Result.BadUntilEvidence =
         *std::max_element(this->BadByRoute.begin(), this->BadByRoute.end());
 }
