--- a/src/libdistribution/memberview.cpp
+++ b/src/libdistribution/memberview.cpp
@@ -3,35 +3,52 @@
 namespace amaranthward {
 
 bool MemberView::refresh(const ResourceTable &Table) {
-  if (Table.current() == this->Seen)
+  if (Table.current() == this->Seen && Table.complete() == this->SeenComplete)
     return false;
+  // Completion drops members of earlier epochs without a record of it.
+  auto Keys = Table.complete() == this->SeenComplete
+                  ? Table.keysChangedSince(this->Seen)
+                  : std::nullopt;
   this->Seen = Table.current();
+  this->SeenComplete = Table.complete();
   bool Changed = false;
-  const std::string Prefix = memberKey(NodeName());
-  std::map<std::string, TableVersion> Present;
-  const ResourceMap &All = Table.resources();
-  for (auto It = All.lower_bound(Prefix);
-       It != All.end() && It->first.starts_with(Prefix); ++It) {
-    const TableVersion Version = *Table.versionOf(It->first);
-    Present.emplace_hint(Present.end(), It->first, Version);
-    auto Known = this->Versions.find(It->first);
-    if (Known != this->Versions.end() && Known->second == Version)
-      continue;
-    NodeName Node(It->first.substr(Prefix.size()));
-    if (auto One = memberFromJson(Node, It->second)) {
-      Changed = Changed || this->Members[Node] != *One;
-      this->Members[Node] = std::move(*One);
-    }
+  if (Keys) {
+    for (const std::string &Key : *Keys)
+      Changed |= this->update(Key, Table.find(Key));
+  } else {
+    Changed = this->reload(Table);
   }
-  for (const auto &[Key, Version] : this->Versions)
-    if (!Present.contains(Key))
-      Changed |= this->Members.erase(NodeName(Key.substr(Prefix.size()))) > 0;
-  this->Versions = std::move(Present);
   if (Changed)
     this->Trees.clear();
   return Changed;
 }
 
+bool MemberView::update(const std::string &Key, const Json *Value) {
+  const std::string Prefix = memberKey(NodeName());
+  if (!Key.starts_with(Prefix))
+    return false;
+  NodeName Node(Key.substr(Prefix.size()));
+  auto One = Value ? memberFromJson(Node, *Value)
+                   : Result<Member>(fail(ErrorCode::NotFound, ""));
+  if (!One)
+    return this->Members.erase(Node) > 0;
+  auto [Found, Added] = this->Members.try_emplace(Node, *One);
+  const bool Changed = Added || Found->second != *One;
+  Found->second = std::move(*One);
+  return Changed;
+}
+
+bool MemberView::reload(const ResourceTable &Table) {
+  std::map<NodeName, Member> Next;
+  for (Member &One : membersIn(Table.resources())) {
+    NodeName Node = One.Node;
+    Next.emplace(std::move(Node), std::move(One));
+  }
+  const bool Changed = Next != this->Members;
+  this->Members = std::move(Next);
+  return Changed;
+}
+
 const RelayTree &MemberView::treeOf(const ZoneName &Zone) {
   auto Found = this->Trees.find(Zone);
   if (Found != this->Trees.end())
--- a/src/libdistribution/memberview.h
+++ b/src/libdistribution/memberview.h
@@ -21,10 +21,13 @@
   std::vector<ParentCandidate> parentsFor(const SyncRequest &Request);
 
 private:
+  bool update(const std::string &Key, const Json *Value);
+  bool reload(const ResourceTable &Table);
+
   std::map<NodeName, Member> Members;
-  std::map<std::string, TableVersion> Versions;
   std::map<ZoneName, RelayTree> Trees;
   TableVersion Seen;
+  bool SeenComplete = true;
 };
 
 } // namespace amaranthward
--- a/src/libdistribution/resourcetable.cpp
+++ b/src/libdistribution/resourcetable.cpp
@@ -44,6 +44,18 @@
   return Bytes;
 }
 
+std::optional<std::vector<std::string>>
+ResourceTable::keysChangedSince(TableVersion Since) const {
+  if (Since.Epoch != this->Current.Epoch || Since < this->Floor)
+    return std::nullopt;
+  const Position After(TableVersion{Since.Epoch, Since.Sequence + 1}, "");
+  std::vector<std::string> Keys;
+  for (const auto *Index : {&this->ByVersion, &this->TombstonesByVersion})
+    for (auto It = Index->lower_bound(After); It != Index->end(); ++It)
+      Keys.push_back(It->second);
+  return Keys;
+}
+
 Result<void> ResourceTable::apply(const std::vector<ResourceChange> &Changes,
                                   TableVersion Version) {
   if (Version <= this->Current)
--- a/src/libdistribution/resourcetable.h
+++ b/src/libdistribution/resourcetable.h
@@ -32,6 +32,11 @@
   /// Bytes of the changes and removals after \a Since.
   std::size_t deltaBytes(TableVersion Since) const;
 
+  /// Keys changed or removed after \a Since; absent when removals since then
+  /// may have been forgotten.
+  std::optional<std::vector<std::string>>
+  keysChangedSince(TableVersion Since) const;
+
   /// Makes \a Changes at \a Version. Fails with Stale unless \a Version is
   /// above the current one. A value equal to the present one is no change,
   /// unless the present one is of an earlier epoch.
--- a/src/libdistribution/uplinkbatch.cpp
+++ b/src/libdistribution/uplinkbatch.cpp
@@ -1,7 +1,7 @@
 #include "libdistribution/uplinkbatch.h"
 
-#include "libdistribution/messagefields.h"
 #include "libdistribution/membercodec.h"
+#include "libdistribution/messagefields.h"
 #include <algorithm>
 
 namespace amaranthward {
--- /dev/null
+++ b/tests/libdistribution/bus.h
@@ -0,0 +1,68 @@
+#ifndef AMARANTHWARD_TESTS_LIBDISTRIBUTION_BUS_H
+#define AMARANTHWARD_TESTS_LIBDISTRIBUTION_BUS_H
+
+#include "libcore/units.h"
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+
+namespace amaranthward {
+
+/// Delivers messages between processes of one program in virtual time. The
+/// same seed gives the same run.
+struct Bus {
+  explicit Bus(std::uint64_t Seed) : Random(seededRandom(Seed)) {}
+
+  void at(Instant When, std::function<void()> Work) {
+    this->Events[{When, ++this->Added}] = std::move(Work);
+  }
+  bool connected(const std::string &From, const std::string &To) const {
+    return !this->Cut.contains(From) && !this->Cut.contains(To);
+  }
+  void send(const std::string &From, const std::string &To, std::size_t Bytes,
+            std::function<void()> Deliver) {
+    this->BytesOut[From] += Bytes;
+    ++this->MessagesOut[From];
+    auto Arrive = [this, From, To, Bytes, Deliver = std::move(Deliver)] {
+      if (!this->connected(From, To))
+        return;
+      this->BytesIn[To] += Bytes;
+      Deliver();
+    };
+    if (this->Random() % 100 < this->DuplicatePercent)
+      this->at(this->Now + this->delay(), Arrive);
+    this->at(this->Now + this->delay(), std::move(Arrive));
+  }
+  Duration delay() {
+    const std::int64_t Spread = this->MaxExtra.count() + 1;
+    return this->Latency +
+           Duration(this->Random() % static_cast<std::uint64_t>(Spread));
+  }
+  void run(Duration For) {
+    const Instant End = this->Now + For;
+    while (!this->Events.empty() && this->Events.begin()->first.first <= End) {
+      auto Next = this->Events.extract(this->Events.begin());
+      this->Now = std::max(this->Now, Next.key().first);
+      Next.mapped()();
+    }
+    this->Now = End;
+  }
+
+  RandomFunction Random;
+  Instant Now = Instant(std::chrono::seconds(100));
+  Duration Latency = std::chrono::milliseconds(1);
+  Duration MaxExtra = Duration::zero();
+  std::uint64_t DuplicatePercent = 0;
+  /// Processes that are cut off silently.
+  std::set<std::string> Cut;
+  std::map<std::string, std::uint64_t> BytesOut, BytesIn, MessagesOut;
+
+private:
+  std::map<std::pair<Instant, std::uint64_t>, std::function<void()>> Events;
+  std::uint64_t Added = 0;
+};
+
+} // namespace amaranthward
+
+#endif
--- /dev/null
+++ b/tests/libdistribution/mesh.h
@@ -0,0 +1,69 @@
+#ifndef AMARANTHWARD_TESTS_LIBDISTRIBUTION_MESH_H
+#define AMARANTHWARD_TESTS_LIBDISTRIBUTION_MESH_H
+
+#include "libdistribution/bus.h"
+#include "libdistribution/revisiongate.h"
+#include "libdistribution/sessiontable.h"
+#include "libdistribution/syncclient.h"
+#include "libdistribution/syncserver.h"
+
+namespace amaranthward {
+
+/// A node, or the control leader when it has no client.
+struct Process {
+  Member Self;
+  DistributedState State = *DistributedState::create();
+  std::unique_ptr<SyncServer> Server;
+  std::unique_ptr<SyncClient> Client;
+  std::optional<RevisionGate> Gate;
+  bool Alive = false;
+  std::uint64_t Life = 0;
+};
+
+struct MeshOptions {
+  std::size_t Zones = 3;
+  std::size_t NodesPerZone = 4;
+  SyncServerOptions Server = {};
+  SyncClientOptions Client = {};
+  TableLimits Tables = {};
+  std::function<Result<void>(const ResourceMap &)> CheckClosure = {};
+  std::function<void(Process &)> OnChanged = {};
+};
+
+/// A control leader and nodes on a bus, wired as the programs wire them, with
+/// every message encoded and decoded.
+struct Mesh {
+  Mesh(std::uint64_t Seed, MeshOptions Options);
+
+  /// A new leader: replicated state survives, sessions do not.
+  void electLeader();
+  void change(const std::vector<ResourceChange> &Changes, Revision Next);
+  void startNode(std::size_t Index);
+  void stopNode(std::size_t Index);
+  void startAll();
+  bool converged() const;
+  std::optional<Duration> runUntil(const std::function<bool()> &Done,
+                                   Duration Limit);
+
+  Bus Wire;
+  MeshOptions Options;
+  Process Leader;
+  std::unique_ptr<SessionTable> Sessions;
+  MemberView View;
+  std::vector<ReporterCounters> Reports;
+  std::vector<std::unique_ptr<Process>> Nodes;
+  std::uint64_t LastTerm = 0;
+
+private:
+  void publish(Urgency How);
+  void makeServer(Process &Owner, SyncServerHooks Hooks);
+  void makeClient(Process &Owner);
+  void request(Process &From, const Endpoint &To, const SyncRequest &Request);
+  void tickAll();
+
+  std::map<Endpoint, Process *> ByAddress;
+};
+
+} // namespace amaranthward
+
+#endif
