--- a/tests/fakes/main.cpp
+++ b/tests/fakes/main.cpp
@@ -6,7 +6,7 @@
 DEFINE_string(listen, "127.0.0.1:0", "address to listen on");
 DEFINE_string(announce, "", "local listener of the node beside it");
 DEFINE_string(service, "catalogue", "service name");
-DEFINE_string(version, "v1", "version name");
+DEFINE_string(service_version, "v1", "version name");
 DEFINE_uint32(slots, 9, "calls at the same time");
 DEFINE_uint32(connections, 130, "connections at the same time");
 DEFINE_uint32(latency_us, 2000, "time of one call in microseconds");
@@ -29,7 +29,7 @@
   Options.Listen = Endpoint(FLAGS_listen);
   Options.Node = Endpoint(FLAGS_announce);
   Options.Service = FLAGS_service;
-  Options.Version = FLAGS_version;
+  Options.Version = FLAGS_service_version;
   Options.Slots = FLAGS_slots;
   Options.Connections = FLAGS_connections;
   Options.Latency = std::chrono::microseconds(FLAGS_latency_us);
