Wait for the repaired replica's vote before the second disk is lost

The test took the stale status of the dead replica for three live voters and destroyed a majority; the log was right to stop. It now waits until the leader counts the new disk identity as a voter.

--- a/tests/processes/test_processes.py
+++ b/tests/processes/test_processes.py
@@ -113,6 +113,13 @@
             if outcome == "not-run":
                 self.assertEqual(runs[order], 0, order)
 
+    def is_voter(self, replica):
+        """The leader counts this replica's present disk as a voter."""
+        own = meshlib.get_json(self.mesh.control_port(replica), "/v1/dump")[1]
+        leader = meshlib.get_json(self.mesh.leader_port(), "/v1/dump")[1]
+        voters = leader["consensus"]["voter_set"]["voters"]
+        return own["consensus"]["identity"] in voters
+
     def leader_name(self):
         return f"control-{self.mesh.leader_port() - self.mesh.base}"
 
@@ -150,10 +157,8 @@
             self.mesh.stop(f"control-{lost}", signal.SIGKILL)
             shutil.rmtree(os.path.join(self.mesh.folder, f"control-{lost}"))
             self.mesh.start_control(lost)
-            meshlib.wait_until(
-                lambda: sum(r["role"] in ("leader", "voter") and r["live"]
-                            for r in self.mesh.status()["replicas"]) == 3,
-                30, "three voters again")
+            meshlib.wait_until(lambda: self.is_voter(lost), 30,
+                               "the repaired replica votes")
             self.apply_everywhere(configuration(1 + lost))
         history = meshlib.get_json(self.mesh.leader_port(), "/v1/history")[1]
         self.assertEqual([s["version"] for s in history["sets"]], [1, 2, 3])
