Compare versions in strata and let a suspicion clear at the end of probation

Causes, in the order found: shares halved again and again until too few calls were left to clear a suspicion; evidence kept without bound; a suspicion that was open at the end of the probation. Strata of single calls were ruled out because they take the candidate's part from too few calls.

--- a/bench/policy/movesession.h
+++ b/bench/policy/movesession.h
@@ -6,6 +6,7 @@
 #include "scenario.h"
 #include "sessionnode.h"
 #include "traffic.h"
+#include <memory>
 #include <queue>
 
 namespace amaranthward {
@@ -26,7 +27,9 @@
     /// The receiving node, or none for a report to the leader.
     std::optional<std::size_t> Node;
     SentDecision Decision;
-    std::vector<Observation> Report;
+    std::shared_ptr<const std::vector<Observation>> Report;
+    bool Rejects = false;
+    std::size_t Sender = 0;
 
     friend bool operator<(const Message &Left, const Message &Right) {
       return std::pair(Left.Due, Left.Sequence) >
@@ -75,6 +78,8 @@
   std::uint64_t Decisions = 0;
   std::size_t RetargetsDone = 0;
   bool WasAway = false;
+  Duration LeadingSince = Duration::zero();
+  std::vector<bool> Rejecting;
   std::vector<std::uint64_t> CallsAt;
 
   SessionResult Result;
--- a/bench/policy/sessionnode.h
+++ b/bench/policy/sessionnode.h
@@ -23,7 +23,7 @@
               bool HasReflex);
 
   Share share() const;
-  bool isReduced() const { return this->Reflex.reduced(); }
+  bool rejects() const { return this->HasReflex && this->Reflex.rejects(); }
   void count(std::size_t Route, bool IsCandidate, bool Failed,
              Duration Latency);
   void receive(const SentDecision &Newest);
--- a/src/libpolicy/latencyhistogram.cpp
+++ b/src/libpolicy/latencyhistogram.cpp
@@ -62,6 +62,17 @@
   return Difference;
 }
 
+LatencyHistogram LatencyHistogram::advance(const LatencyHistogram &Newest) {
+  LatencyHistogram Added;
+  for (std::size_t Bucket = 0; Bucket < Buckets; ++Bucket) {
+    std::uint64_t Before = this->Counts[Bucket];
+    std::uint64_t After = std::max(Before, Newest.Counts[Bucket]);
+    Added.Counts[Bucket] = After - Before;
+    this->Counts[Bucket] = After;
+  }
+  return Added;
+}
+
 void LatencyHistogram::halve() {
   for (std::uint64_t &Count : this->Counts)
     Count /= 2;
--- a/src/libpolicy/latencyhistogram.h
+++ b/src/libpolicy/latencyhistogram.h
@@ -25,6 +25,8 @@
 
   /// What was added after \a Before; a bucket that fell counts as unchanged.
   LatencyHistogram since(const LatencyHistogram &Before) const;
+  /// Raises to \a Newest and returns what that added.
+  LatencyHistogram advance(const LatencyHistogram &Newest);
   void halve();
 
   std::uint64_t at(std::size_t Bucket) const { return this->Counts[Bucket]; }
--- a/src/libpolicy/localreflex.cpp
+++ b/src/libpolicy/localreflex.cpp
@@ -35,9 +35,8 @@
   Share Before = this->share();
   if (Kind == Judgement::Bad)
     this->Limit = Share::none();
-  else if (Kind == Judgement::Suspect && this->Limit == Share::all() &&
-           Before > LargestDoubtfulShare)
-    this->Limit = Share(Before.parts() / 2);
+  else if (Kind == Judgement::Suspect)
+    this->Limit = std::min(this->Limit, LargestSuspectShare);
   return this->share() < Before;
 }
 
--- a/src/libpolicy/localreflex.h
+++ b/src/libpolicy/localreflex.h
@@ -10,7 +10,7 @@
 /// A node's own reduction of an unproven version's share. It only ever lowers
 /// the share that the leader decided, on what this node has seen itself, and
 /// ends when a newer decision of the leader arrives. A version that is bad gets
-/// no share; one that is suspect at a large share gets half of it.
+/// no share; one that is suspect gets half of all calls at most.
 class LocalReflex {
 public:
   static Result<LocalReflex> create(const std::vector<RouteName> &Routes,
@@ -26,6 +26,8 @@
 
   /// Share to use; never more than the leader's.
   Share share() const;
+  /// Whether this node's own evidence shows that the version is bad.
+  bool rejects() const { return this->Limit == Share::none(); }
   bool reduced() const { return this->share() < this->Leaders; }
   const AnalysisVerdict &verdict() const { return this->Analysis.verdict(); }
 
--- a/src/libpolicy/movepacer.cpp
+++ b/src/libpolicy/movepacer.cpp
@@ -67,15 +67,14 @@
 }
 
 MoveDecision decideBad(const MoveState &State, const MoveInputs &In) {
-  bool IsVerdict = In.Verdict.Kind == Judgement::Bad;
   MoveReason Reason =
-      IsVerdict ? MoveReason::BadVersion : MoveReason::MarkedBad;
+      In.CandidateMarkedBad ? MoveReason::MarkedBad : MoveReason::BadVersion;
   MoveDecision Decision =
       leavesCandidate(State)
           ? endAs(State, MovePhase::Done, MoveReason::TargetHeld, In.Now)
           : endAs(State, MovePhase::TakenBack, Reason, In.Now);
   recordEvidence(Decision.Next, In.Verdict);
-  Decision.MarkBad = IsVerdict;
+  Decision.MarkBad = !In.CandidateMarkedBad;
   return Decision;
 }
 
@@ -87,25 +86,26 @@
   });
 }
 
-/// Half of what the candidate has gained, so that both versions get calls.
-MoveDecision halve(const MoveState &State, const MoveInputs &In) {
+Share suspectShare(const MoveState &State) {
+  return std::max(LargestSuspectShare,
+                  shareIn(State.Fallback, State.Candidate));
+}
+
+MoveDecision lower(const MoveState &State, const MoveInputs &In) {
   MoveDecision Decision = {MoveAction::SetShare, State, false};
   Split &Shares = Decision.Next.InForce;
-  std::uint32_t Settled = shareIn(State.Fallback, State.Candidate).parts();
-  std::uint32_t Taken = (Shares[State.Candidate].parts() - Settled) / 2;
-  Shares[State.Candidate] = Share(Shares[State.Candidate].parts() - Taken);
+  Share Kept = suspectShare(State);
+  std::uint32_t Taken = Shares[State.Candidate].parts() - Kept.parts();
+  Shares[State.Candidate] = Kept;
   Shares[State.Baseline] = Share(Shares[State.Baseline].parts() + Taken);
   Decision.Next.SteppedAt = In.Now;
   return Decision;
 }
 
-bool isDoubtful(const MoveState &State, const MoveInputs &In) {
-  std::uint32_t Gain = State.shareOf(State.Candidate).parts() -
-                       std::min(State.shareOf(State.Candidate),
-                                shareIn(State.Fallback, State.Candidate))
-                           .parts();
+bool mustLower(const MoveState &State, const MoveInputs &In) {
   return In.Verdict.Kind == Judgement::Suspect && State.NeedsEvidence &&
-         Share(Gain) > LargestDoubtfulShare && hasCapacity(State.Fallback, In);
+         State.shareOf(State.Candidate) > suspectShare(State) &&
+         hasCapacity(State.Fallback, In);
 }
 
 MoveDecision restore(const MoveState &State, const MoveInputs &In) {
@@ -219,8 +219,8 @@
                                       const MoveInputs &In) const {
   bool IsGood = In.Verdict.Kind == Judgement::GoodSoFar;
   if (In.Now - State.SteppedAt >= this->Options.StepInterval) {
-    if (isDoubtful(State, In))
-      return halve(State, In);
+    if (mustLower(State, In))
+      return lower(State, In);
     if (State.InForce != State.To && In.Verdict.Kind != Judgement::Suspect)
       return restore(State, In);
   }
@@ -243,7 +243,8 @@
                                    const MoveInputs &In) const {
   if (!isWatched(State, In.Now))
     return keep(State);
-  bool IsOver = In.Now > State.EndedAt + State.Probation;
+  // A suspicion at the end of the probation gets as much time again to clear.
+  bool IsOver = In.Now > State.EndedAt + 2 * State.Probation;
   bool IsSuspect = In.Verdict.Kind == Judgement::Suspect;
   if ((In.Verdict.Kind == Judgement::Bad || (IsOver && IsSuspect)) &&
       hasCapacity(State.Fallback, In)) {
@@ -255,14 +256,18 @@
   }
   if (In.Now - State.SteppedAt < this->Options.StepInterval)
     return keep(State);
-  if (isDoubtful(State, In))
-    return halve(State, In);
+  if (mustLower(State, In))
+    return lower(State, In);
   return State.InForce != State.To && !IsSuspect ? restore(State, In)
                                                  : keep(State);
 }
 
 MoveDecision MovePacer::decideAtDeadline(const MoveState &State,
                                          const MoveInputs &In) const {
+  if (State.NeedsEvidence && In.RejectingNodes > 0.5)
+    return decideBad(State, In);
+  if (In.Leading < this->Options.ResendWait)
+    return keep(State);
   bool IsSuspect = In.Verdict.Kind == Judgement::Suspect;
   bool IsGood = !IsSuspect && (In.Verdict.Kind == Judgement::GoodSoFar ||
                                State.Evidence.Good);
@@ -276,7 +281,7 @@
   if (IsHeld && IsGood)
     Decision = endAs(State, MovePhase::Done, MoveReason::TargetHeld, In.Now);
   else if (IsSuspect)
-    Decision.Next.Reason = MoveReason::BadVersion;
+    Decision.Next.Reason = MoveReason::Suspect;
   else if (!IsHeld && !HasCapacity)
     Decision.Next.Reason = MoveReason::NoCapacity;
   else if (!IsGood)
@@ -294,8 +299,8 @@
     if (State.Phase != MovePhase::Pending &&
         In.Now - State.SteppedAt < this->Options.StepInterval)
       return keep(State);
-    if (isDoubtful(State, In))
-      return halve(State, In);
+    if (mustLower(State, In))
+      return lower(State, In);
     if (In.Verdict.Kind == Judgement::Suspect && Current > 0)
       return keep(State);
     Next = this->nextGain(State, In);
--- a/src/libpolicy/movepacer.h
+++ b/src/libpolicy/movepacer.h
@@ -33,6 +33,11 @@
   /// Calls that each version's live upstreams can hold at the same time; a
   /// version that is absent has no upstreams.
   std::map<VersionName, double> Capacity;
+  /// Part of the reporting nodes whose local share reduction rejects the
+  /// candidate; 0 when not known. Decides only once the deadline has passed.
+  double RejectingNodes = 0;
+  /// Time since this leader took over.
+  Duration Leading = Duration::max();
   /// Number of routes of the service that carry traffic.
   std::uint32_t Routes = 1;
   /// The mark "bad" exists for this move's candidate.
@@ -80,13 +85,16 @@
   /// Largest factor and largest difference of one step.
   double StepFactor = 2;
   Share StepSize = Share(2500);
+  /// Time that a new leader waits for the nodes to send their counters again
+  /// before it ends a move whose deadline has passed.
+  Duration ResendWait = std::chrono::seconds(1);
   /// Part of a version's capacity that a step may use.
   double CapacityPart = 0.8;
 };
 
-/// Decides each step of a move. A suspect candidate whose share is large gets
-/// half of it, which gives it a concurrent baseline again. The pacer has no state of its own: everything is in
-/// the MoveState, which the log stores.
+/// Decides each step of a move. A suspect candidate gets half of all calls at
+/// most, which gives it a concurrent baseline again. The pacer has no state of
+/// its own: everything is in the MoveState, which the log stores.
 class MovePacer {
 public:
   /// Fails with InvalidArgument on options that allow no step.
--- a/src/libpolicy/movestate.cpp
+++ b/src/libpolicy/movestate.cpp
@@ -16,7 +16,7 @@
      {MovePhase::TakenBack, "taken_back"},
      {MovePhase::Superseded, "superseded"}}};
 
-constexpr std::array<std::pair<MoveReason, const char *>, 8> ReasonNames = {
+constexpr std::array<std::pair<MoveReason, const char *>, 9> ReasonNames = {
     {{MoveReason::None, "none"},
      {MoveReason::TargetHeld, "target_held"},
      {MoveReason::BadVersion, "bad_version"},
@@ -24,6 +24,7 @@
      {MoveReason::NoEvidence, "no_evidence"},
      {MoveReason::NoCapacity, "no_capacity"},
      {MoveReason::DeadlinePassed, "deadline_passed"},
+     {MoveReason::Suspect, "suspect"},
      {MoveReason::NewTarget, "new_target"}}};
 
 template <typename Table, typename Enum>
--- a/src/libpolicy/movestate.h
+++ b/src/libpolicy/movestate.h
@@ -10,9 +10,9 @@
 
 namespace amaranthward {
 
-/// A version that is suspect keeps its share up to this one; a larger share is
-/// halved until the verdict is clear.
-inline constexpr Share LargestDoubtfulShare = Share(1000);
+/// A version that is suspect gets this share at most, so that the baseline has
+/// as many calls to compare with until the verdict is clear.
+inline constexpr Share LargestSuspectShare = Share(5000);
 
 using Split = std::map<VersionName, Share>;
 
@@ -35,6 +35,8 @@
   /// The deadline passed before the target was in force, for example because
   /// there was no leader.
   DeadlinePassed,
+  /// The candidate was suspect at the deadline; it is not marked bad.
+  Suspect,
   NewTarget,
 };
 
--- a/src/libpolicy/observation.cpp
+++ b/src/libpolicy/observation.cpp
@@ -33,6 +33,16 @@
   return Difference;
 }
 
+CallCounters CallCounters::advance(const CallCounters &Newest) {
+  CallCounters Added;
+  Added.Calls = rise(Newest.Calls, this->Calls);
+  Added.Failures = rise(Newest.Failures, this->Failures);
+  Added.Latency = this->Latency.advance(Newest.Latency);
+  this->Calls += Added.Calls;
+  this->Failures += Added.Failures;
+  return Added;
+}
+
 void CallCounters::count(bool Failed, Duration Latency) {
   ++this->Calls;
   if (Failed)
--- a/src/libpolicy/observation.h
+++ b/src/libpolicy/observation.h
@@ -20,6 +20,8 @@
   void raiseTo(const CallCounters &Other);
   /// What was counted after \a Before; a counter that fell counts as unchanged.
   CallCounters since(const CallCounters &Before) const;
+  /// Raises to \a Newest and returns what that added.
+  CallCounters advance(const CallCounters &Newest);
   /// Records one finished call.
   void count(bool Failed, Duration Latency);
 
--- a/src/libpolicy/observationstore.cpp
+++ b/src/libpolicy/observationstore.cpp
@@ -27,10 +27,9 @@
   Sums &Known = From.Processes[One.Process];
   auto [At, IsNew] = Known.try_emplace(Key);
   this->Count += IsNew ? 1 : 0;
-  CallCounters Added = One.Counters.since(At->second);
+  CallCounters Added = At->second.advance(One.Counters);
   if (Added == CallCounters())
     return false;
-  At->second.raiseTo(One.Counters);
   Service.Totals[Key].add(Added);
   return true;
 }
--- a/src/libpolicy/rateevidence.cpp
+++ b/src/libpolicy/rateevidence.cpp
@@ -9,7 +9,7 @@
 /// The mixture is kept from exceeding what a verdict needs by more than this
 /// factor. Without it, the evidence from a disturbance of both versions took 20
 /// seconds of good calls to fade.
-constexpr double ExcessKept = 100;
+constexpr double ExcessKept = 3;
 
 /// Alternative rates, as the part of the way from the baseline's rate to 1.
 constexpr std::array<double, 6> AlternativeParts = {0.02, 0.06, 0.15,
@@ -22,6 +22,11 @@
 /// version in 1 of 300 seeds.
 constexpr double ContrastNeeded = 9.2;
 
+/// Calls or time after which a new stratum begins. Strata of single calls would
+/// take the part of the candidate from too few calls.
+constexpr double StratumCalls = 200;
+constexpr Duration StratumTime = std::chrono::seconds(1);
+
 /// Baseline calls below which nothing is concluded.
 constexpr double BaselineNeeded = 200;
 constexpr Duration BaselineMemory = std::chrono::seconds(60);
@@ -36,10 +41,10 @@
 /// Allowance, without a concurrent baseline, for rates that change with time
 /// and load.
 constexpr double AloneFactor = 1.5;
-constexpr double AloneMargin = 0.005;
+constexpr double AloneMargin = 0.002;
 /// Likelihood ratio from which a candidate is suspect, as a part of what a
 /// verdict needs. A false suspicion only lowers a share for some seconds.
-constexpr double SuspectPart = 0.01;
+constexpr double SuspectPart = 0.003;
 
 constexpr double LowestRate = 1e-6;
 constexpr double HighestRate = 0.9;
@@ -99,7 +104,7 @@
   if (this->Bad)
     return;
   this->updateBaseline(Now, Baseline, Candidate);
-  this->updateContrasts(Baseline, Candidate);
+  this->updateContrasts(Now, Baseline, Candidate);
   this->Waiting.add(Candidate);
   if (this->Baseline.Calls < BaselineNeeded || this->Waiting.Calls <= 0)
     return;
@@ -146,18 +151,30 @@
   }
 }
 
-void RateEvidence::updateContrasts(FaultCount Baseline, FaultCount Candidate) {
-  double Calls = Baseline.Calls + Candidate.Calls;
-  if (Calls <= 0)
-    return;
-  double Part = Candidate.Calls / Calls;
-  double Faults = Baseline.Faults + Candidate.Faults;
-  for (std::size_t At = 0; At < Contrasts; ++At) {
-    double Odds = OddsRatios[At];
-    double Added = Candidate.Faults * std::log(Odds) -
-                   Faults * std::log(Part * Odds + 1 - Part);
-    this->Divided[At] = std::max(0.0, this->Divided[At] + Added);
+void RateEvidence::updateContrasts(Instant Now, FaultCount Baseline,
+                                   FaultCount Candidate) {
+  double Calls = this->StratumBaseline.Calls + this->StratumCandidate.Calls;
+  if (Calls >= StratumCalls || Now - this->StratumBegan >= StratumTime) {
+    for (std::size_t At = 0; At < Contrasts; ++At)
+      this->Divided[At] = this->contrast(At);
+    this->StratumBaseline = {};
+    this->StratumCandidate = {};
+    this->StratumBegan = Now;
   }
+  this->StratumBaseline.add(Baseline);
+  this->StratumCandidate.add(Candidate);
+}
+
+double RateEvidence::contrast(std::size_t At) const {
+  double Calls = this->StratumBaseline.Calls + this->StratumCandidate.Calls;
+  if (Calls <= 0)
+    return this->Divided[At];
+  double Part = this->StratumCandidate.Calls / Calls;
+  double Faults = this->StratumBaseline.Faults + this->StratumCandidate.Faults;
+  double Odds = OddsRatios[At];
+  double Added = this->StratumCandidate.Faults * std::log(Odds) -
+                 Faults * std::log(Part * Odds + 1 - Part);
+  return std::max(0.0, this->Divided[At] + Added);
 }
 
 bool RateEvidence::isAlone() const {
@@ -166,8 +183,10 @@
 }
 
 bool RateEvidence::isContrasted() const {
-  return *std::max_element(this->Divided.begin(), this->Divided.end()) >=
-         ContrastNeeded;
+  for (std::size_t At = 0; At < Contrasts; ++At)
+    if (this->contrast(At) >= ContrastNeeded)
+      return true;
+  return false;
 }
 
 void RateEvidence::conclude() {
@@ -188,6 +207,8 @@
   this->Steps = 0;
   this->Ratios = {};
   this->Divided = {};
+  this->StratumBaseline = {};
+  this->StratumCandidate = {};
   this->Waiting = {};
   this->RecentCandidate = {};
 }
--- a/src/libpolicy/rateevidence.h
+++ b/src/libpolicy/rateevidence.h
@@ -59,7 +59,9 @@
 
   void updateBaseline(Instant Now, FaultCount Baseline, FaultCount Candidate);
   void updateRatios(FaultCount Candidate);
-  void updateContrasts(FaultCount Baseline, FaultCount Candidate);
+  void updateContrasts(Instant Now, FaultCount Baseline, FaultCount Candidate);
+  /// The ratio of one odds ratio with the open stratum added.
+  double contrast(std::size_t At) const;
   bool isAlone() const;
   bool isContrasted() const;
   void conclude();
@@ -73,6 +75,11 @@
   /// Per odds ratio, logarithm of the likelihood ratio of how the faults of
   /// both versions divide between them, restarted at zero.
   std::array<double, Contrasts> Divided = {};
+  /// Calls of both versions that are compared as one, as their shares are
+  /// nearly constant in that time.
+  FaultCount StratumBaseline;
+  FaultCount StratumCandidate;
+  Instant StratumBegan;
   /// Candidate calls seen before the baseline was known.
   FaultCount Waiting;
   FaultCount Baseline;
--- a/src/libpolicy/routeanalysis.cpp
+++ b/src/libpolicy/routeanalysis.cpp
@@ -35,10 +35,8 @@
 
 void RouteAnalysis::step(Instant Now, const CallCounters &Baseline,
                          const CallCounters &Candidate) {
-  CallCounters NewBaseline = Baseline.since(this->SeenBaseline);
-  CallCounters NewCandidate = Candidate.since(this->SeenCandidate);
-  this->SeenBaseline.raiseTo(Baseline);
-  this->SeenCandidate.raiseTo(Candidate);
+  CallCounters NewBaseline = this->SeenBaseline.advance(Baseline);
+  CallCounters NewCandidate = this->SeenCandidate.advance(Candidate);
   this->CandidateCalls += NewCandidate.Calls;
   this->Failures.step(Now, failuresOf(NewBaseline), failuresOf(NewCandidate));
   this->stepSlowness(Now, NewBaseline.Latency, NewCandidate.Latency);
@@ -53,11 +51,12 @@
     this->Waiting = {};
   }
   this->Recent.add(Baseline);
+  this->RecentCalls += Baseline.total();
   this->updateThreshold(Now);
 }
 
 void RouteAnalysis::updateThreshold(Instant Now) {
-  std::uint64_t Calls = this->Recent.total();
+  std::uint64_t Calls = this->RecentCalls;
   if (Calls < LatenciesNeeded)
     return;
   bool IsDue = this->ThresholdCalls == 0 ||
@@ -67,6 +66,7 @@
     return;
   if (Now - this->HalvedAt >= RecentHalfLife && this->ThresholdCalls > 0) {
     this->Recent.halve();
+    this->RecentCalls = Calls = this->Recent.total();
     this->HalvedAt = Now;
   }
   this->ThresholdCalls = Calls;
--- a/src/libpolicy/routeanalysis.h
+++ b/src/libpolicy/routeanalysis.h
@@ -43,6 +43,7 @@
   std::uint64_t CandidateCalls = 0;
   /// Baseline latencies from which the threshold of slowness is taken.
   LatencyHistogram Recent;
+  std::uint64_t RecentCalls = 0;
   /// Candidate latencies seen before the threshold was known.
   LatencyHistogram Waiting;
   std::size_t SlowBucket = LatencyHistogram::Buckets;
