--- a/src/libpolicy/observation.cpp
+++ b/src/libpolicy/observation.cpp
@@ -69,6 +69,10 @@
       One.Route.empty())
     return fail(ErrorCode::InvalidArgument,
                 "observation lacks a reporter, service, version or route");
+  if (!Value.contains("c") || !Value["c"].is_number_unsigned() ||
+      !Value.contains("f") || !Value["f"].is_number_unsigned())
+    return fail(ErrorCode::InvalidArgument,
+                "observation lacks its count of calls or failures");
   auto Latency =
       LatencyHistogram::fromJson(Value.value("h", Json(Json::array())));
   if (!Latency)
--- /dev/null
+++ b/tests/libpolicy/test_movepacer.cpp
@@ -0,0 +1,226 @@
+#include "libpolicy/movepacer.h"
+
+#include <doctest/doctest.h>
+
+using namespace amaranthward;
+
+namespace {
+
+const VersionName Old("v1");
+const VersionName New("v2");
+const Split AllOld = {{Old, Share::all()}};
+const Split AllNew = {{New, Share::all()}};
+const WallTime Start = WallTime(std::chrono::hours(1));
+
+MoveRequest request(const std::string &Id, const Split &To) {
+  return {Id, ServiceName("orders"), To, Start + std::chrono::seconds(60),
+          std::chrono::seconds(15)};
+}
+
+MoveInputs inputs(Duration After, Judgement Kind, std::uint64_t Calls) {
+  MoveInputs In;
+  In.Now = Start + After;
+  In.Verdict.Kind = Kind;
+  In.Verdict.CandidateCalls = Calls;
+  if (Kind == Judgement::Bad)
+    In.Verdict.Bad = BadEvidence{RouteName("search")};
+  In.CallsPerSecond = 1000;
+  In.AllCalls = static_cast<std::uint64_t>(After.count() / 1000);
+  In.Demand = 6;
+  In.Capacity = {{Old, 72}, {New, 72}};
+  return In;
+}
+
+MoveState begin(const Split &To) {
+  return MovePacer::begin(Start, request("m1", To), AllOld, {})->Begun;
+}
+
+/// Runs a good move until \a Until, with calls that follow the share.
+MoveState runGood(MoveState State, Duration From, Duration Until) {
+  auto Pacer = *MovePacer::create();
+  double Calls = 0;
+  Duration Step = std::chrono::milliseconds(100);
+  for (Duration At = From; At < Until; At += Step) {
+    Calls += 100 * State.shareOf(New).fraction();
+    auto Kind =
+        Calls >= 50 ? Judgement::GoodSoFar : Judgement::NotEnoughEvidence;
+    State =
+        Pacer.decide(State, inputs(At, Kind, static_cast<std::uint64_t>(Calls)))
+            .Next;
+    CHECK(checkSplit(State.InForce).has_value());
+  }
+  return State;
+}
+
+} // namespace
+
+TEST_CASE("A good move is done on time and ends once") {
+  // Guards against moves that never end or end twice.
+  MoveState State =
+      runGood(begin(AllNew), Duration(0), std::chrono::seconds(70));
+  CHECK((State.Phase == MovePhase::Done));
+  CHECK((State.Reason == MoveReason::TargetHeld));
+  CHECK(State.InForce == AllNew);
+  CHECK(State.EndedAt <= State.Deadline);
+  auto Pacer = *MovePacer::create();
+  auto After = inputs(std::chrono::seconds(200), Judgement::Bad, 9999);
+  CHECK((Pacer.decide(State, After).Action == MoveAction::Keep));
+}
+
+TEST_CASE("A bad candidate is taken back in every phase") {
+  // Guards against a rollback that one phase forgets.
+  auto Pacer = *MovePacer::create();
+  for (int Seconds : {1, 5, 20, 35}) {
+    Duration At = std::chrono::seconds(Seconds);
+    MoveState State = runGood(begin(AllNew), Duration(0), At);
+    REQUIRE_FALSE(State.ended());
+    auto Decision = Pacer.decide(State, inputs(At, Judgement::Bad, 100));
+    CHECK((Decision.Action == MoveAction::End));
+    CHECK(Decision.MarkBad);
+    CHECK((Decision.Next.Phase == MovePhase::TakenBack));
+    CHECK((Decision.Next.Reason == MoveReason::BadVersion));
+    CHECK(Decision.Next.Evidence.BadRoute == RouteName("search"));
+    CHECK(Decision.Next.InForce == AllOld);
+  }
+}
+
+TEST_CASE("A version marked bad is refused at once") {
+  // Guards against a resent set that brings a bad version back.
+  auto Pacer = *MovePacer::create();
+  auto In = inputs(Duration(0), Judgement::NotEnoughEvidence, 0);
+  In.CandidateMarkedBad = true;
+  auto Decision = Pacer.decide(begin(AllNew), In);
+  CHECK((Decision.Action == MoveAction::End));
+  CHECK((Decision.Next.Reason == MoveReason::MarkedBad));
+  CHECK(Decision.Next.InForce == AllOld);
+  CHECK_FALSE(Decision.MarkBad);
+}
+
+TEST_CASE("A version that turns bad after the move is reverted once") {
+  // Guards against a second end of a move that was reported as done.
+  auto Pacer = *MovePacer::create();
+  MoveState Done =
+      runGood(begin(AllNew), Duration(0), std::chrono::seconds(59));
+  REQUIRE((Done.Phase == MovePhase::Done));
+  Duration After = Done.EndedAt - Start + std::chrono::seconds(5);
+  auto Decision = Pacer.decide(Done, inputs(After, Judgement::Bad, 5000));
+  CHECK((Decision.Action == MoveAction::Revert));
+  CHECK(Decision.MarkBad);
+  CHECK((Decision.Next.Phase == MovePhase::Done));
+  CHECK(Decision.Next.InForce == AllOld);
+  auto Again = inputs(After, Judgement::Bad, 5000);
+  CHECK((Pacer.decide(Decision.Next, Again).Action == MoveAction::Keep));
+  auto NoOld = inputs(After, Judgement::Bad, 5000);
+  NoOld.Capacity.erase(Old);
+  CHECK((Pacer.decide(Done, NoOld).Action == MoveAction::Keep));
+}
+
+TEST_CASE("No evidence or no capacity by the deadline takes the move back") {
+  // Guards against an unproven version that stays because time ran out.
+  auto Pacer = *MovePacer::create();
+  MoveState State = begin(AllNew);
+  for (int Seconds = 0; Seconds <= 60; ++Seconds)
+    State = Pacer
+                .decide(State, inputs(std::chrono::seconds(Seconds),
+                                      Judgement::NotEnoughEvidence, 3))
+                .Next;
+  CHECK((State.Phase == MovePhase::TakenBack));
+  CHECK((State.Reason == MoveReason::NoEvidence));
+  CHECK(State.EndedAt == State.Deadline);
+  State = begin(AllNew);
+  for (int Seconds = 0; Seconds <= 60; ++Seconds) {
+    auto In = inputs(std::chrono::seconds(Seconds), Judgement::GoodSoFar, 5000);
+    In.Capacity[New] = 3;
+    State = Pacer.decide(State, In).Next;
+    CHECK(State.shareOf(New) <= Share(4000));
+  }
+  CHECK((State.Reason == MoveReason::NoCapacity));
+}
+
+TEST_CASE("Reversals start from the share in force and replace once") {
+  // Guards against a jump of traffic and a move that is reported twice.
+  MoveState First =
+      runGood(begin(AllNew), Duration(0), std::chrono::seconds(20));
+  REQUIRE((First.Phase == MovePhase::Shifting));
+  WallTime At = Start + std::chrono::seconds(20);
+  MoveStart Back =
+      *MovePacer::begin(At, request("m2", AllOld), First.InForce, First);
+  REQUIRE(Back.Superseded);
+  CHECK(Back.Superseded->Id == "m1");
+  CHECK((Back.Superseded->Phase == MovePhase::Superseded));
+  CHECK(Back.Begun.InForce == First.InForce);
+  CHECK(Back.Begun.Fallback == AllOld);
+  CHECK_FALSE(Back.Begun.NeedsEvidence);
+  MoveStart Again = *MovePacer::begin(At, request("m3", AllNew),
+                                      Back.Begun.InForce, Back.Begun);
+  CHECK(Again.Superseded->Id == "m2");
+  CHECK(Again.Begun.InForce == First.InForce);
+  CHECK(Again.Begun.Fallback == AllOld);
+  CHECK(Again.Begun.NeedsEvidence);
+  CHECK_FALSE(
+      MovePacer::begin(At, request("m4", AllNew), AllOld, Back.Superseded)
+          ->Superseded);
+}
+
+TEST_CASE("A reversal away from a bad candidate ends at its target") {
+  // Guards against a rollback that leads back to the bad version.
+  auto Pacer = *MovePacer::create();
+  Split Middle = {{Old, Share(6000)}, {New, Share(4000)}};
+  MoveState First = begin(AllNew);
+  First.InForce = Middle;
+  MoveState Back =
+      MovePacer::begin(Start, request("m2", AllOld), Middle, First)->Begun;
+  CHECK(Back.Candidate == New);
+  auto Decision = Pacer.decide(Back, inputs(Duration(0), Judgement::Bad, 100));
+  CHECK((Decision.Next.Phase == MovePhase::Done));
+  CHECK(Decision.Next.InForce == AllOld);
+  CHECK(Decision.MarkBad);
+}
+
+TEST_CASE("A new leader ends an overdue move on the record") {
+  // Guards against a proven version taken back because a leader was away, and
+  // against an unproven one that stays for the same reason.
+  auto Pacer = *MovePacer::create();
+  MoveState Held =
+      runGood(begin(AllNew), Duration(0), std::chrono::seconds(35));
+  REQUIRE((Held.Phase == MovePhase::Holding));
+  auto Late = inputs(std::chrono::seconds(90), Judgement::NotEnoughEvidence, 0);
+  Late.Leading = std::chrono::milliseconds(100);
+  CHECK((Pacer.decide(Held, Late).Action == MoveAction::Keep));
+  Late.Leading = std::chrono::seconds(2);
+  CHECK((Pacer.decide(Held, Late).Next.Phase == MovePhase::Done));
+  Late.RejectingNodes = 0.9;
+  CHECK((Pacer.decide(Held, Late).Next.Reason == MoveReason::BadVersion));
+  Late.RejectingNodes = 0;
+  MoveState Early =
+      runGood(begin(AllNew), Duration(0), std::chrono::seconds(10));
+  CHECK((Pacer.decide(Early, Late).Next.Phase == MovePhase::TakenBack));
+}
+
+TEST_CASE("A suspect candidate gets half of the calls until it is cleared") {
+  // Guards against a verdict that never comes because no baseline is left.
+  auto Pacer = *MovePacer::create();
+  Duration At = std::chrono::seconds(35);
+  MoveState Held = runGood(begin(AllNew), Duration(0), At);
+  auto Decision = Pacer.decide(Held, inputs(At, Judgement::Suspect, 9000));
+  CHECK((Decision.Action == MoveAction::SetShare));
+  CHECK(Decision.Next.shareOf(New) == Share(5000));
+  At += std::chrono::seconds(2);
+  auto Still =
+      Pacer.decide(Decision.Next, inputs(At, Judgement::Suspect, 9500));
+  CHECK((Still.Action == MoveAction::Keep));
+  auto Cleared =
+      Pacer.decide(Decision.Next, inputs(At, Judgement::GoodSoFar, 9500));
+  CHECK(Cleared.Next.InForce == AllNew);
+}
+
+TEST_CASE("Shares that do not add up are refused") {
+  // Guards against calls without a version.
+  Split Short = {{New, Share(9999)}};
+  CHECK_FALSE(
+      MovePacer::begin(Start, request("m1", Short), AllOld, {}).has_value());
+  CHECK_FALSE(
+      MovePacer::begin(Start, request("m1", AllNew), Short, {}).has_value());
+  CHECK_FALSE(
+      MovePacer::create({.StepInterval = Duration::zero()}).has_value());
+}
