--- a/src/libpolicy/observation.cpp
+++ b/src/libpolicy/observation.cpp
@@ -33,6 +33,16 @@
   return Difference;
 }
 
+CallCounters CallCounters::advance(const CallCounters &Newest) {
+  CallCounters Added;
+  Added.Calls = rise(Newest.Calls, this->Calls);
+  Added.Failures = rise(Newest.Failures, this->Failures);
+  Added.Latency = this->Latency.advance(Newest.Latency);
+  this->Calls += Added.Calls;
+  this->Failures += Added.Failures;
+  return Added;
+}
+
 void CallCounters::count(bool Failed, Duration Latency) {
   ++this->Calls;
   if (Failed)
@@ -59,6 +69,10 @@
       One.Route.empty())
     return fail(ErrorCode::InvalidArgument,
                 "observation lacks a reporter, service, version or route");
+  if (!Value.contains("c") || !Value["c"].is_number_unsigned() ||
+      !Value.contains("f") || !Value["f"].is_number_unsigned())
+    return fail(ErrorCode::InvalidArgument,
+                "observation lacks its count of calls or failures");
   auto Latency =
       LatencyHistogram::fromJson(Value.value("h", Json(Json::array())));
   if (!Latency)
