Add tests of the load decisions and fix what they found

- With two candidates the choice always took the cheaper one: an ejected candidate was never probed, and a slow one never tried again.
Probes go first now, and an old latency estimate falls with its age.
- Ejections could cover everyone after the set of candidates shrank.
- Calls that start and end in batches gave the ramp no measurements, so the limit stayed at 2.
- A gate that had just become warm had an empty baseline and did not see the upstream turn cold; it uses the ramp's last measurement until then.

--- a/src/libpolicy/admissiongate.cpp
+++ b/src/libpolicy/admissiongate.cpp
@@ -141,9 +141,13 @@
 void AdmissionControl::Impl::start(const AdmissionQueue::Waiting &Call,
                                    Instant Now) {
   auto InFlight = static_cast<std::uint32_t>(this->Calls.size()) + 1;
-  double Expected = this->Ramp.isWarm()
-                        ? this->Baseline.expected(Call.Route, InFlight)
-                        : this->Ramp.recent(Call.Route);
+  // Just warm, the baseline is still empty; the last measurement of the ramp
+  // stands in for it.
+  double Expected = this->Ramp.recent(Call.Route);
+  if (this->Ramp.isWarm()) {
+    double Warm = this->Baseline.expected(Call.Route, InFlight);
+    Expected = Warm > 0 ? Warm : Expected;
+  }
   this->Calls.push_back({Call.Ticket, Call.Class, Call.Route, InFlight,
                          this->Ramp.step(), Now, Expected, Call.Cancellable,
                          false});
--- a/src/libpolicy/choiceentry.cpp
+++ b/src/libpolicy/choiceentry.cpp
@@ -9,6 +9,8 @@
 
 /// Time in which an old peak of latency loses 63% of its effect.
 constexpr double LatencyMemory = 2e6;
+/// Microseconds; low, so that a new candidate is tried soon.
+constexpr double UnknownLatency = 1000;
 constexpr double FailureWeight = 0.1;
 /// A candidate that always fails looks this many times slower.
 constexpr double FailurePenalty = 20;
@@ -52,9 +54,12 @@
 }
 
 double ChoiceEntry::cost(Instant Now) const {
-  double Expected = this->Latency;
-  if (Expected <= 0)
-    Expected = 1000;
+  // Not measured for some time, the estimate falls, so that a candidate that
+  // was slow once is tried again.
+  auto Age = static_cast<double>((Now - this->LatencyAt).count());
+  double Expected = this->Latency / (1 + std::max(0.0, Age) / LatencyMemory);
+  if (this->Latency <= 0)
+    Expected = UnknownLatency;
   double Cost = Expected * (this->load(Now) + 1 / this->limit(Now)) *
                 (1 + FailurePenalty * this->FailureRate);
   return this->isFull(Now) ? Cost * 4 : Cost;
--- a/src/libpolicy/choiceentry.h
+++ b/src/libpolicy/choiceentry.h
@@ -19,6 +19,8 @@
   /// Expected latency for one more call, in relative units.
   double cost(Instant Now) const;
 
+  /// Its ejection is over and the one call that tests it is not under way.
+  bool wantsProbe() const { return this->Probing && this->InFlight == 0; }
   void begin() { ++this->InFlight; }
   void end();
   void addSuccess(Duration Latency, Instant Now);
--- a/src/libpolicy/upstreamchoice.cpp
+++ b/src/libpolicy/upstreamchoice.cpp
@@ -12,7 +12,6 @@
 /// A gate that said it is leaving is not chosen for this long. By then the
 /// member list usually says so, too; at a zone's return the gate may be late.
 constexpr Duration LeavingMemory = std::chrono::seconds(1);
-constexpr std::uint32_t PickTries = 4;
 constexpr std::uint32_t MostDoublings = 10;
 
 UpstreamHandle handleOf(std::uint32_t Index, std::uint32_t Generation) {
@@ -53,8 +52,12 @@
   void rebuild(Instant Now);
   ChoiceEntry *pick(const IndexList &From,
                     std::span<const UpstreamHandle> Avoid, Instant Now);
-  ChoiceEntry *pickOne(const IndexList &From,
-                       std::span<const UpstreamHandle> Avoid);
+  std::optional<std::size_t> pickOne(const IndexList &From,
+                                     std::span<const UpstreamHandle> Avoid,
+                                     std::optional<std::size_t> Not);
+  bool mayTake(std::uint32_t Index, std::span<const UpstreamHandle> Avoid);
+  std::size_t mostEjected(Share Most) const;
+  void releaseExcess(Instant Now);
   UpstreamHandle handleOf(const ChoiceEntry &One) const;
   void eject(ChoiceEntry &One, Share Most, Instant Now);
   void put(const UpstreamCandidate &One);
@@ -114,6 +117,7 @@
     Entry.Eligible = Eligible;
     this->InService += Eligible ? 1 : 0;
   }
+  this->releaseExcess(Now);
   this->rebuild(Now);
 }
 
@@ -168,38 +172,47 @@
   return this->handleOf(*Best);
 }
 
-ChoiceEntry *
+bool UpstreamChoice::Impl::mayTake(std::uint32_t Index,
+                                   std::span<const UpstreamHandle> Avoid) {
+  return Avoid.empty() ||
+         !contains(Avoid, this->handleOf(this->Entries[Index]));
+}
+
+// Position of a random candidate that may be taken, other than \a Not.
+std::optional<std::size_t>
 UpstreamChoice::Impl::pickOne(const IndexList &From,
-                              std::span<const UpstreamHandle> Avoid) {
-  std::uint64_t Start = 0;
-  for (std::uint32_t Try = 0; Try < PickTries; ++Try) {
-    Start = ((this->Random() >> 32) * From.size()) >> 32;
-    ChoiceEntry &One = this->Entries[From[Start]];
-    if (Avoid.empty() || !contains(Avoid, this->handleOf(One)))
-      return &One;
-  }
-  for (std::size_t I = 0; I < From.size(); ++I) {
-    ChoiceEntry &One = this->Entries[From[(Start + I) % From.size()]];
-    if (!contains(Avoid, this->handleOf(One)))
-      return &One;
+                              std::span<const UpstreamHandle> Avoid,
+                              std::optional<std::size_t> Not) {
+  std::size_t Places = From.size() - (Not ? 1 : 0);
+  if (Places == 0)
+    return std::nullopt;
+  std::size_t First = Not ? *Not + 1 : 0;
+  auto Offset =
+      static_cast<std::size_t>(((this->Random() >> 32) * Places) >> 32);
+  for (std::size_t I = 0; I < Places; ++I) {
+    std::size_t Place = (First + (Offset + I) % Places) % From.size();
+    if (this->mayTake(From[Place], Avoid))
+      return Place;
   }
-  return nullptr;
+  return std::nullopt;
 }
 
 ChoiceEntry *UpstreamChoice::Impl::pick(const IndexList &From,
                                         std::span<const UpstreamHandle> Avoid,
                                         Instant Now) {
-  if (From.empty())
+  auto First = this->pickOne(From, Avoid, std::nullopt);
+  if (!First)
     return nullptr;
-  ChoiceEntry *First = this->pickOne(From, Avoid);
-  if (!First || From.size() == 1)
-    return First;
-  ChoiceEntry *Second = this->pickOne(From, Avoid);
-  for (std::uint32_t Try = 1; Second == First && Try < PickTries; ++Try)
-    Second = this->pickOne(From, Avoid);
-  if (!Second || Second == First)
-    return First;
-  return Second->cost(Now) < First->cost(Now) ? Second : First;
+  ChoiceEntry *One = &this->Entries[From[*First]];
+  auto Second = this->pickOne(From, Avoid, First);
+  if (!Second)
+    return One;
+  ChoiceEntry *Other = &this->Entries[From[*Second]];
+  // By its cost a failed candidate would never be tried again. The growing
+  // ejection time limits what the probes cost.
+  if (One->wantsProbe() || Other->wantsProbe())
+    return One->wantsProbe() ? One : Other;
+  return Other->cost(Now) < One->cost(Now) ? Other : One;
 }
 
 ChoiceEntry *UpstreamChoice::Impl::find(UpstreamHandle Handle) {
@@ -217,6 +230,26 @@
       }));
 }
 
+std::size_t UpstreamChoice::Impl::mostEjected(Share Most) const {
+  if (this->InService == 0)
+    return 0;
+  auto Allowed = static_cast<std::size_t>(static_cast<double>(this->InService) *
+                                          Most.fraction());
+  return std::min(Allowed, this->InService - 1);
+}
+
+// Fewer candidates allow fewer ejections; those that end soonest end now.
+void UpstreamChoice::Impl::releaseExcess(Instant Now) {
+  while (this->ejected(Now) > this->mostEjected(this->Settings.MaxRefused)) {
+    ChoiceEntry *Soonest = nullptr;
+    for (ChoiceEntry &One : this->Entries)
+      if (One.Used && One.Eligible && One.isEjected(Now) &&
+          (!Soonest || One.EjectedUntil < Soonest->EjectedUntil))
+        Soonest = &One;
+    Soonest->EjectedUntil = Now;
+  }
+}
+
 void UpstreamChoice::Impl::eject(ChoiceEntry &One, Share Most, Instant Now) {
   if (!One.Eligible || One.isEjected(Now))
     return;
--- a/src/libpolicy/warmupramp.cpp
+++ b/src/libpolicy/warmupramp.cpp
@@ -130,12 +130,12 @@
   }
   if (Sample.Step != this->StepNumber)
     return;
-  std::uint32_t Least = std::min(Sample.InFlight, Sample.InFlightAtEnd);
   std::uint32_t Most = std::max(Sample.InFlight, Sample.InFlightAtEnd);
   std::uint32_t LowLevel = this->lowLevel();
-  if (Least >= LeastUse * this->Level)
+  // Calls that start and end in batches are alone at one of the two moments.
+  if (Most >= LeastUse * this->Level)
     this->put(this->Full, Sample);
-  else if (Most <= LowLevel && Least >= LeastUse * LowLevel)
+  else if (Most <= LowLevel && Most >= LeastUse * LowLevel)
     this->put(this->Low, Sample);
   bool LowDone = this->Level == 1 || this->Low.Count >= WindowCalls;
   if (this->AtLow && LowDone)
--- /dev/null
+++ b/tests/libpolicy/test_loadexperiments.cpp
@@ -0,0 +1,108 @@
+// Smaller versions of the checks of bench_policy. Each check is also run
+// against a policy that must fail it, so that a check that sees nothing is
+// found.
+#include "gateexperiment.h"
+#include "meshexperiment.h"
+
+#include <doctest/doctest.h>
+
+using namespace amaranthward;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Seeds[] = {11, 12, 13};
+
+std::uint64_t aboveAtStart(const UpstreamModelSettings &Upstream,
+                           GatePolicy Policy, std::uint64_t Seed) {
+  GateExperiment Plan;
+  Plan.Upstream = Upstream;
+  Plan.Policy = Policy;
+  Plan.Seed = Seed;
+  return run(Plan).AboveAtStart;
+}
+
+} // namespace
+
+TEST_CASE("A cold upstream gets no more than it can bear") {
+  UpstreamModelSettings Honest;
+  UpstreamModelSettings Slow;
+  Slow.WarmTime *= 2;
+  Slow.WarmCalls *= 2;
+  UpstreamModelSettings NotSlowAlone;
+  NotSlowAlone.ColdSlowdown = 1;
+  UpstreamModelSettings Misleading;
+  Misleading.Report = LoadReport::AlwaysLow;
+  for (const auto &Upstream : {Honest, Slow, NotSlowAlone, Misleading})
+    for (std::uint64_t Seed : Seeds)
+      CHECK(aboveAtStart(Upstream, GatePolicy::Admission, Seed) == 0);
+  CHECK(aboveAtStart(Honest, GatePolicy::NoRamp, 11) > 0);
+  CHECK(aboveAtStart(Slow, GatePolicy::TimedRamp, 11) > 0);
+}
+
+TEST_CASE("The ramp ends at the full limit") {
+  for (std::uint64_t Seed : Seeds) {
+    GateExperiment Plan;
+    Plan.Seed = Seed;
+    GateFigures Figures = run(Plan);
+    CHECK(Figures.FullAfter.has_value());
+    CHECK(Figures.FalseDrops == 0);
+  }
+}
+
+TEST_CASE("An upstream that turns cold in mid-load is found") {
+  for (std::uint64_t Seed : Seeds) {
+    GateExperiment Plan;
+    Plan.Seed = Seed;
+    Plan.Length = 60s;
+    Plan.TurnsCold = 40s;
+    Plan.Cancellable = 0.8;
+    GateFigures Figures = run(Plan);
+    REQUIRE(Figures.DropAfter.has_value());
+    CHECK(*Figures.DropAfter < 200ms);
+    CHECK(Figures.AboveAfterDrop == 0);
+    Plan.Policy = GatePolicy::TimedRamp;
+    GateFigures Other = run(Plan);
+    CHECK(Other.AboveBeforeDrop + Other.AboveAfterDrop > 100);
+  }
+}
+
+TEST_CASE("Urgent calls survive a zone that leaves and returns") {
+  MeshExperiment Plan;
+  Plan.Upstreams = {1, 1, 1};
+  Plan.Leaves = 42s;
+  Plan.Returns = 47s;
+  Plan.Length = 60s;
+  for (std::uint64_t Seed : Seeds) {
+    Plan.Seed = Seed;
+    MeshFigures Figures = run(Plan);
+    CHECK(Figures.Calls[0] > 500);
+    CHECK(Figures.Lost[0] == 0);
+    CHECK(Figures.NewWorkWhileOut == 0);
+    CHECK(Figures.AboveAtStart == 0);
+    CHECK(Figures.AboveAfterReturn == 0);
+    CHECK(Figures.Falls == 0);
+  }
+  Plan.Gate = GatePolicy::NoRamp;
+  Plan.Upstream.StartsWarm = true;
+  Plan.Choice = ChoicePolicy::RoundRobin;
+  CHECK(run(Plan).AboveAfterReturn > 0);
+}
+
+TEST_CASE("Attempts stay within the budget while half refuse") {
+  MeshExperiment Plan;
+  Plan.HalfRefuse = 36s;
+  Plan.Length = 46s;
+  Plan.Rate = 80;
+  for (std::uint64_t Seed : Seeds) {
+    Plan.Seed = Seed;
+    MeshFigures Figures = run(Plan);
+    CHECK(static_cast<double>(Figures.Attempts) <=
+          1.1 * static_cast<double>(Figures.AllCalls));
+  }
+  Plan.Retries = RetryPolicy::Unlimited;
+  Plan.Choice = ChoicePolicy::RoundRobin;
+  MeshFigures Other = run(Plan);
+  CHECK(static_cast<double>(Other.Attempts) >
+        1.1 * static_cast<double>(Other.AllCalls));
+}
