--- a/tests/libconsensus/testcluster.cpp
+++ b/tests/libconsensus/testcluster.cpp
@@ -9,7 +9,7 @@
 } // namespace
 
 TestCluster::TestCluster(std::uint64_t Seed, std::vector<std::string> Names)
-    : Random(seededRandom(Seed)), Names(std::move(Names)) {
+    : MessageBus(Seed), Names(std::move(Names)) {
   for (const std::string &Name : this->Names) {
     this->Nodes[Name];
     this->Options.Peers.emplace_back(Name);
@@ -60,24 +60,6 @@
   this->Nodes.at(Name).Disk = std::make_shared<MemoryFolder>();
 }
 
-void TestCluster::post(const std::string &From, const std::string &To,
-                       const Json &Message) {
-  ++this->Messages;
-  if (this->Isolated.contains(From) || this->Isolated.contains(To))
-    return;
-  int Copies = 1;
-  if (static_cast<int>(this->Random() % 100) < this->LossPercent)
-    Copies = 0;
-  else if (static_cast<int>(this->Random() % 100) < this->DuplicatePercent)
-    Copies = 2;
-  for (; Copies > 0; --Copies) {
-    auto Delay =
-        1 + this->Random() % static_cast<std::uint64_t>(this->MaxDelayMs);
-    this->Underway.emplace(this->Now + std::chrono::milliseconds(Delay),
-                           Letter{From, To, dumpJson(Message)});
-  }
-}
-
 void TestCluster::apply(const std::string &Name, std::uint64_t Index,
                         const std::string &Payload) {
   auto &State = this->Nodes.at(Name).State;
@@ -99,18 +81,12 @@
 
 void TestCluster::step() {
   this->Now += Step;
-  while (!this->Underway.empty() &&
-         this->Underway.begin()->first <= this->Now) {
-    Letter Next = std::move(this->Underway.begin()->second);
-    this->Underway.erase(this->Underway.begin());
-    Json Message = Json::parse(Next.Text);
-    Node &Receiver = this->Nodes.at(Next.To);
-    bool Dropped = this->Isolated.contains(Next.To) ||
-                   this->Isolated.contains(Next.From) ||
-                   Receiver.Refuses.contains(textAt(Message, "type"));
-    if (Receiver.Replica && !Dropped)
-      Receiver.Replica->receive(ReplicaName(Next.From), Message);
-  }
+  this->deliver([this](const std::string &From, const std::string &To,
+                       const Json &Message) {
+    Node &Receiver = this->Nodes.at(To);
+    if (Receiver.Replica && !Receiver.Refuses.contains(textAt(Message, "type")))
+      Receiver.Replica->receive(ReplicaName(From), Message);
+  });
   for (auto &[Name, One] : this->Nodes) {
     if (!One.Replica)
       continue;
@@ -140,8 +116,7 @@
 ConsensusReplica *TestCluster::leader() {
   ConsensusReplica *Best = nullptr;
   for (auto &[Name, One] : this->Nodes)
-    if (One.Replica && !this->Isolated.contains(Name) &&
-        One.Replica->isLeader() &&
+    if (One.Replica && !this->isCut(Name) && One.Replica->isLeader() &&
         (!Best || One.Replica->term() > Best->term()))
       Best = One.Replica.get();
   return Best;
--- a/tests/libconsensus/testcluster.h
+++ b/tests/libconsensus/testcluster.h
@@ -3,17 +3,15 @@
 
 #include "libconsensus/consensusreplica.h"
 #include "libconsensus/memoryfolder.h"
-#include <functional>
-#include <map>
-#include <set>
+#include "libconsensus/messagebus.h"
 #include <string>
 #include <vector>
 
 namespace amaranthward {
 
-/// Replicas on an in-memory message bus with virtual time. Checks on every
-/// step that a term has one leader and that applied entries never differ.
-class TestCluster {
+/// Replicas on a message bus. Checks on every step that a term has one leader
+/// and that applied entries never differ.
+class TestCluster : public MessageBus {
 public:
   struct Node {
     std::shared_ptr<MemoryFolder> Disk = std::make_shared<MemoryFolder>();
@@ -39,8 +37,6 @@
   void crash(const std::string &Name);
   /// Crashes and replaces the disk by an empty one.
   void loseDisk(const std::string &Name);
-  void cut(const std::string &Name) { this->Isolated.insert(Name); }
-  void heal() { this->Isolated.clear(); }
 
   void run(Duration Time);
   /// False when \a Condition does not hold within \a Limit.
@@ -65,32 +61,16 @@
   /// Checks that each running replica holds every acknowledged payload.
   void checkAcknowledged();
 
-  RandomFunction Random;
   ReplicaOptions Options;
-  int LossPercent = 0;
-  int DuplicatePercent = 0;
-  /// Messages take 1 ms to this time, in random order.
-  int MaxDelayMs = 3;
-  Instant Now = Instant(std::chrono::hours(1));
-  std::size_t Messages = 0;
   std::vector<std::string> Names;
 
 private:
-  struct Letter {
-    std::string From;
-    std::string To;
-    std::string Text;
-  };
   void step();
-  void post(const std::string &From, const std::string &To,
-            const Json &Message);
   void apply(const std::string &Name, std::uint64_t Index,
              const std::string &Payload);
   void violation(const std::string &Text) { this->Violations += Text + "\n"; }
 
   std::map<std::string, Node> Nodes;
-  std::set<std::string> Isolated;
-  std::multimap<Instant, Letter> Underway;
   std::map<std::uint64_t, std::string> Leaders;
   std::map<std::uint64_t, std::string> Committed;
   std::map<std::uint64_t, std::string> Acknowledged;
