--- a/tests/libconsensus/test_membership.cpp
+++ b/tests/libconsensus/test_membership.cpp
@@ -31,6 +31,87 @@
   CHECK(Bus.waitForLeader());
 }
 
+TEST_CASE("Hellos sent before this disk existed do not count") {
+  // Guards against a second cluster formed on delayed hellos of replicas that
+  // have joined another one since.
+  TestCluster Bus(26);
+  Bus.start("a");
+  ConsensusReplica &Alone = *Bus.at("a").Replica;
+  auto Greet = [&](const std::string &Heard) {
+    for (const char *Name : {"b", "c"})
+      Alone.receive(ReplicaName(Name), {{"type", "hello"},
+                                        {"from", std::string("disk-") + Name},
+                                        {"empty", true},
+                                        {"heard", Heard}});
+    Bus.run(400ms);
+  };
+  Greet("");
+  Greet("earlier-disk-of-a");
+  CHECK(Alone.clusterId().empty());
+  Greet(Alone.identity().str());
+  CHECK_FALSE(Alone.clusterId().empty());
+}
+
+TEST_CASE("Votes of disks outside the voter set do not count") {
+  // Guards against a leader elected by a replica that lost its disk.
+  TestCluster Bus(27);
+  Bus.startAll();
+  REQUIRE(Bus.commit("before"));
+  std::string Alone = others(Bus, Bus.leaderName()).first;
+  ConsensusReplica &Replica = *Bus.at(Alone).Replica;
+  Bus.cut(Alone);
+  REQUIRE(Bus.runUntil(
+      [&] { return Replica.status()["role"] == "pre-candidate"; }));
+  Term Before = Replica.term();
+  for (const char *Type : {"prevote_reply", "vote_reply"})
+    Replica.receive(ReplicaName(Bus.leaderName()),
+                    {{"type", Type},
+                     {"from", "disk-of-a-learner"},
+                     {"to", Replica.identity().str()},
+                     {"cluster", Replica.clusterId().str()},
+                     {"term", Before.value()},
+                     {"next_term", Before.next().value()},
+                     {"granted", true}});
+  CHECK(Replica.term() == Before);
+  CHECK_FALSE(Replica.isLeader());
+}
+
+TEST_CASE("A new leader changes no voter set before its term commits") {
+  // Guards against two leaders that act on different voter sets whose
+  // majorities need not intersect.
+  TestCluster Bus(28);
+  Bus.startAll();
+  REQUIRE(Bus.commit("before"));
+  std::string Old = Bus.leaderName();
+  auto [Lost, Other] = others(Bus, Old);
+  Bus.loseDisk(Lost);
+  REQUIRE(Bus.start(Lost).empty());
+  REQUIRE(Bus.runUntil([&] { return Bus.leader()->voters().size() == 2; }));
+  // The removal is in both logs, but not yet committed.
+  REQUIRE(Bus.runUntil(
+      [&, Other = Other] {
+        return Bus.at(Other).Replica->lastIndex() == Bus.leader()->lastIndex();
+      },
+      100ms));
+  REQUIRE(Bus.leader()->voters().size() == 2);
+  Bus.at(Old).Refuses = Bus.at(Other).Refuses = {"append"};
+  Bus.crash(Old);
+  REQUIRE(Bus.start(Old).empty());
+  int StepsWithLeader = 0;
+  for (int Step = 0; Step < 500; ++Step) {
+    Bus.run(10ms);
+    if (!Bus.leader())
+      continue;
+    ++StepsWithLeader;
+    CHECK(Bus.leader()->voters().size() == 2);
+  }
+  CHECK(StepsWithLeader > 20);
+  Bus.at(Old).Refuses.clear();
+  Bus.at(Other).Refuses.clear();
+  CHECK(Bus.runUntil([&] { return Bus.isVoter(Lost); }));
+  CHECK(Bus.violations().empty());
+}
+
 TEST_CASE("A cluster is formed over a lossy network") {
   // Guards against replicas that end up in different clusters.
   for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
--- a/tests/libconsensus/test_storage.cpp
+++ b/tests/libconsensus/test_storage.cpp
@@ -114,19 +114,23 @@
 TEST_CASE("A full disk refuses records and recovers") {
   // Guards against half-written records that later block the log, and against
   // refused records that reappear after a crash.
-  auto Files = std::make_shared<MemoryFolder>();
-  LogStore Log = openLog(Files);
-  write(Log, 1, 2);
-  Files->Full = true;
-  Log.append(entry(3, "refused"));
-  auto Flushed = Log.flush();
-  REQUIRE_FALSE(Flushed);
-  CHECK((Flushed.error().Code == ErrorCode::Exhausted));
-  Log.dropPending();
-  Files->crash(seededRandom(1));
-  CHECK(openLog(Files).lastIndex() == LogIndex(2));
-  write(Log, 3, 4);
-  CHECK(openLog(Files).lastIndex() == LogIndex(4));
+  for (bool Crash : {false, true}) {
+    auto Files = std::make_shared<MemoryFolder>();
+    LogStore Log = openLog(Files);
+    write(Log, 1, 2);
+    Files->Full = true;
+    Log.append(entry(3, "refused"));
+    auto Flushed = Log.flush();
+    REQUIRE_FALSE(Flushed);
+    CHECK((Flushed.error().Code == ErrorCode::Exhausted));
+    Log.dropPending();
+    if (Crash)
+      Files->crash(seededRandom(1));
+    CHECK(Files->read(FirstSegment)->size() == 2 * RecordSize);
+    Files->Full = false;
+    write(Log, 3, 4);
+    CHECK(openLog(Files).lastIndex() == LogIndex(4));
+  }
 }
 
 TEST_CASE("The quota refuses records until segments are discarded") {
