--- a/tests/libconsensus/test_membership.cpp
+++ b/tests/libconsensus/test_membership.cpp
@@ -83,13 +83,14 @@
   Bus.startAll();
   REQUIRE(Bus.commit("before"));
   std::string Old = Bus.leaderName();
-  auto [Lost, Other] = others(Bus, Old);
+  std::string Lost = others(Bus, Old).first;
+  std::string Other = others(Bus, Old).second;
   Bus.loseDisk(Lost);
   REQUIRE(Bus.start(Lost).empty());
   REQUIRE(Bus.runUntil([&] { return Bus.leader()->voters().size() == 2; }));
   // The removal is in both logs, but not yet committed.
   REQUIRE(Bus.runUntil(
-      [&, Other = Other] {
+      [&] {
         return Bus.at(Other).Replica->lastIndex() == Bus.leader()->lastIndex();
       },
       100ms));
