--- a/tests/libproxy/meshfixture.cpp
+++ b/tests/libproxy/meshfixture.cpp
@@ -80,7 +80,7 @@
   Node->PeerAddress = Node->Peer->address();
   Node->Gate->update(this->state());
   UpstreamAnnouncement Said{Shop,  Node->Version, Node->Upstream->address(),
-                    Slots, Slots,         false};
+                            Slots, Slots,         false};
   Node->Gate->announce(Said);
   this->Gates.push_back(std::move(Made));
   return *Node;
