--- a/src/libpolicy/deadline.h
+++ b/src/libpolicy/deadline.h
@@ -3,7 +3,6 @@
 
 #include "libcore/result.h"
 #include "libcore/units.h"
-#include <compare>
 #include <string>
 #include <string_view>
 
@@ -35,7 +34,12 @@
   /// InvalidArgument on any other text; more than a day counts as a day.
   static Result<Duration> parseHeader(std::string_view Text);
 
-  friend auto operator<=>(const Deadline &, const Deadline &) = default;
+  friend bool operator==(const Deadline &L, const Deadline &R) {
+    return L.At == R.At;
+  }
+  friend bool operator<(const Deadline &L, const Deadline &R) {
+    return L.At < R.At;
+  }
 
   /// A hop gets this part of the time left, within the two limits below. 42
   /// hops (depth 21, entry and gate each) leave 72% of a short deadline.
--- a/tests/libpolicy/test_upstreamchoice.cpp
+++ b/tests/libpolicy/test_upstreamchoice.cpp
@@ -21,6 +21,13 @@
   return One;
 }
 
+std::vector<UpstreamCandidate> tenInOneZone() {
+  std::vector<UpstreamCandidate> All(10);
+  for (int I = 0; I < 10; ++I)
+    All[static_cast<std::size_t>(I)] = candidate(I, "a");
+  return All;
+}
+
 UpstreamChoice choice(std::uint64_t Seed = 1) {
   UpstreamChoiceSettings Settings;
   Settings.OwnZone = ZoneName("a");
@@ -73,10 +80,7 @@
 
 TEST_CASE("A refused connection ejects at once, but never the last ones") {
   UpstreamChoice Choice = choice();
-  std::vector<UpstreamCandidate> All;
-  for (int I = 0; I < 10; ++I)
-    All.push_back(candidate(I, "a"));
-  Choice.setCandidates(All, {}, Start);
+  Choice.setCandidates(tenInOneZone(), {}, Start);
   for (int I = 0; I < 200; ++I)
     once(Choice, Start, AttemptResult::ConnectRefused);
   CHECK(Choice.ejected(Start) == 9);
@@ -92,10 +96,7 @@
 TEST_CASE("Failures eject at most half") {
   // Guards against a bad dependency that makes every upstream look bad.
   UpstreamChoice Choice = choice();
-  std::vector<UpstreamCandidate> All;
-  for (int I = 0; I < 10; ++I)
-    All.push_back(candidate(I, "a"));
-  Choice.setCandidates(All, {}, Start);
+  Choice.setCandidates(tenInOneZone(), {}, Start);
   once(Choice, Start, AttemptResult::Failure);
   CHECK(Choice.ejected(Start) == 0);
   for (int I = 0; I < 500; ++I)
