--- a/tests/libconsensus/test_membership.cpp
+++ b/tests/libconsensus/test_membership.cpp
@@ -251,6 +251,24 @@
   CHECK(Bus.violations().empty());
 }
 
+TEST_CASE("A learner becomes a voter only when it has caught up") {
+  // Guards against a voter that cannot help to commit: the loss of a second VM
+  // right after the repair would then block the cluster.
+  TestCluster Bus(29);
+  Bus.Options.MaxAppendBytes = 1; // One entry in a message, one at a time.
+  Bus.startAll();
+  REQUIRE(Bus.commit("before"));
+  for (int Number = 0; Number < 100; ++Number)
+    Bus.propose(Bus.leaderName(), std::to_string(Number));
+  REQUIRE(Bus.commit("last"));
+  std::string Lost = others(Bus, Bus.leaderName()).first;
+  Bus.loseDisk(Lost);
+  REQUIRE(Bus.start(Lost).empty());
+  REQUIRE(Bus.runUntil([&] { return Bus.leader()->voters().size() == 2; }));
+  CHECK(Bus.at(Lost).Replica->lastIndex().value() + 20 >
+        Bus.leader()->lastIndex().value());
+}
+
 TEST_CASE("Two lost disks of five are replaced one after the other") {
   // Guards against changing two voters at a time.
   TestCluster Bus(24, {"a", "b", "c", "d", "e"});
