--- /dev/null
+++ b/src/libproxy/claimranking.cpp
@@ -0,0 +1,93 @@
+#include "libproxy/claimranking.h"
+
+#include "libcore/hashing.h"
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace amaranthward {
+
+namespace {
+
+std::string rankingKey(const ServiceName &Service, const std::string &Key) {
+  return Service.str() + '/' + Key;
+}
+
+} // namespace
+
+void ClaimRanking::update(const std::vector<Member> &Members, Instant Now) {
+  std::set<std::pair<ServiceName, GateId>> Present;
+  for (const Member &One : Members) {
+    if (One.Service.empty())
+      continue;
+    GateId Id(One.Node, One.Start);
+    Present.emplace(One.Service, Id);
+    auto [Found, IsNew] = this->Gates[One.Service].try_emplace(Id);
+    if (IsNew)
+      Found->second.FirstSeen = Now;
+    Found->second.Address = One.PeerAddress;
+    Found->second.DepartedAt.reset();
+  }
+  for (auto &[Service, All] : this->Gates) {
+    for (auto &[Id, One] : All) {
+      if (!One.DepartedAt && !Present.contains({Service, Id}))
+        One.DepartedAt = Now;
+    }
+    std::erase_if(All, [&](const auto &Entry) {
+      return !this->counts(Entry.second, Now);
+    });
+  }
+  std::erase_if(this->Gates,
+                [](const auto &Entry) { return Entry.second.empty(); });
+}
+
+bool ClaimRanking::counts(const Gate &One, Instant Now) const {
+  return !One.DepartedAt || *One.DepartedAt + this->Times.horizon() > Now;
+}
+
+std::vector<ClaimHolder> ClaimRanking::holders(const ServiceName &Service,
+                                               const std::string &Key,
+                                               Instant Now) const {
+  using Weighted = std::tuple<std::uint64_t, GateId, Endpoint>;
+  std::vector<Weighted> Ranked;
+  auto Found = this->Gates.find(Service);
+  if (Found == this->Gates.end())
+    return {};
+  for (const auto &[Id, One] : Found->second) {
+    if (!this->counts(One, Now))
+      continue;
+    std::string Name = Id.first.str() + '/' + std::to_string(Id.second.value());
+    Ranked.emplace_back(rendezvousWeight(rankingKey(Service, Key), Name), Id,
+                        One.Address);
+  }
+  std::size_t Count = std::min(HolderCount, Ranked.size());
+  std::partial_sort(Ranked.begin(),
+                    Ranked.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Ranked.end(), std::greater<>());
+  std::vector<ClaimHolder> Holders;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    const auto &[Weight, Id, Address] = Ranked[Index];
+    Holders.push_back({Id.first, Id.second, Address});
+  }
+  return Holders;
+}
+
+bool ClaimRanking::isHolder(const ServiceName &Service, const std::string &Key,
+                            Instant Now) const {
+  auto Holders = this->holders(Service, Key, Now);
+  return std::any_of(Holders.begin(), Holders.end(),
+                     [this](const ClaimHolder &One) {
+                       return GateId(One.Node, One.Start) == this->Self;
+                     });
+}
+
+bool ClaimRanking::isMature(const ServiceName &Service, Instant Now) const {
+  auto All = this->Gates.find(Service);
+  if (All == this->Gates.end())
+    return false;
+  auto Own = All->second.find(this->Self);
+  return Own != All->second.end() &&
+         Own->second.FirstSeen + this->Times.horizon() <= Now;
+}
+
+} // namespace amaranthward
--- /dev/null
+++ b/src/libproxy/claimranking.h
@@ -0,0 +1,54 @@
+#ifndef AMARANTHWARD_LIBPROXY_CLAIMRANKING_H
+#define AMARANTHWARD_LIBPROXY_CLAIMRANKING_H
+
+#include "libproxy/claimorder.h"
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace amaranthward {
+
+/// Ranks the gates of a service, live or departed within the horizon, as
+/// holders of its claims. Entries use it to find holders, and holders to refuse
+/// orders of entries whose view is too old.
+class ClaimRanking {
+public:
+  static constexpr std::size_t HolderCount = 3;
+
+  ClaimRanking(NodeName Self, Incarnation Start, ClaimTimes Times)
+      : Self(std::move(Self), Start), Times(Times) {}
+
+  Incarnation self() const { return this->Self.second; }
+
+  /// Takes over the complete list of members.
+  void update(const std::vector<Member> &Members, Instant Now);
+
+  /// The first three gates for the key; fewer when the service has fewer.
+  std::vector<ClaimHolder> holders(const ServiceName &Service,
+                                   const std::string &Key, Instant Now) const;
+  /// Whether this node is one of them.
+  bool isHolder(const ServiceName &Service, const std::string &Key,
+                Instant Now) const;
+  /// Whether this node has been a known gate of the service for the horizon.
+  /// Only then can it know that no earlier claim exists.
+  bool isMature(const ServiceName &Service, Instant Now) const;
+
+private:
+  using GateId = std::pair<NodeName, Incarnation>;
+
+  struct Gate {
+    Endpoint Address;
+    Instant FirstSeen;
+    std::optional<Instant> DepartedAt;
+  };
+
+  bool counts(const Gate &One, Instant Now) const;
+
+  GateId Self;
+  ClaimTimes Times;
+  std::map<ServiceName, std::map<GateId, Gate>> Gates;
+};
+
+} // namespace amaranthward
+
+#endif
--- /dev/null
+++ b/src/libproxy/claimtable.h
@@ -0,0 +1,54 @@
+#ifndef AMARANTHWARD_LIBPROXY_CLAIMTABLE_H
+#define AMARANTHWARD_LIBPROXY_CLAIMTABLE_H
+
+#include "libproxy/claimorder.h"
+#include "libproxy/claimranking.h"
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace amaranthward {
+
+/// The claims that one node holds.
+class ClaimTable {
+public:
+  /// \param Ranking must outlive the table.
+  ClaimTable(const ClaimRanking &Ranking, ClaimTimes Times,
+             std::size_t MaxClaims = DefaultMaxClaims)
+      : Ranking(Ranking), Times(Times), MaxClaims(MaxClaims) {}
+
+  /// Repeating an order gives the same reply.
+  ClaimReply handle(const ClaimOrder &Order, Instant Now);
+
+  std::size_t size() const { return this->Claims.size(); }
+
+  /// About 20 MB with keys of 64 bytes.
+  static constexpr std::size_t DefaultMaxClaims = 50000;
+  static constexpr std::size_t MaxKeyBytes = 256;
+
+private:
+  using ClaimKey = std::pair<ServiceName, std::string>;
+
+  struct Claim {
+    ClaimRecord Record;
+    Instant Until;
+  };
+
+  ClaimReply claim(const ClaimOrder &Order, Instant Now);
+  ClaimReply grant(const ClaimOrder &Order, const ClaimKey &Key, Claim &Held,
+                   Instant Now);
+  void extend(const ClaimKey &Key, Claim &Held, Instant Until);
+  void erase(std::map<ClaimKey, Claim>::iterator Found);
+  void expire(Instant Now);
+
+  const ClaimRanking &Ranking;
+  ClaimTimes Times;
+  std::size_t MaxClaims;
+  std::map<ClaimKey, Claim> Claims;
+  std::set<std::pair<Instant, ClaimKey>> Expiries;
+};
+
+} // namespace amaranthward
+
+#endif
