--- a/src/amaranthctl/applyfile.cpp
+++ b/src/amaranthctl/applyfile.cpp
@@ -42,6 +42,7 @@
     return Context.report(ExitCode::InvalidInput,
                           Client.error().Message + "; give --control");
   ApplyFile Apply(Context, std::move(*Client), Name);
+  Apply.Version = Outcome.Set->Version.value();
   ExitCode Code = Apply.submit(*Text, digestOf(*Outcome.Set));
   if (Code == ExitCode::Ok && !Context.Options.NoWait)
     Code = Apply.awaitInForce();
@@ -105,8 +106,10 @@
     bool Reached = numberAt(*Status, "revision") >= this->Revision;
     if (Reached)
       this->progress(inForceText(*Status));
-    if (Reached && isInForce(*Status))
+    if (Reached && isInForce(*Status)) {
+      this->noteNewerSet(*Status);
       return ExitCode::Ok;
+    }
     if (this->Context.Hooks.Now() >= End)
       return this->Context.report(
           ExitCode::TimedOut,
@@ -117,6 +120,15 @@
   }
 }
 
+void ApplyFile::noteNewerSet(const Json &Status) {
+  std::uint64_t Newest = numberAt(Status, "version");
+  if (Newest <= this->Version)
+    return;
+  this->Report["newer_version"] = Newest;
+  this->progress("version " + std::to_string(Newest) +
+                 " has been accepted since and is in force instead");
+}
+
 ExitCode ApplyFile::awaitMoves() {
   std::uint64_t Since = this->acceptedAt();
   std::uint64_t Last = 0;
--- a/src/amaranthctl/applyfile.h
+++ b/src/amaranthctl/applyfile.h
@@ -24,6 +24,7 @@
   ExitCode explainRefusal(const ControlAnswer &Answer,
                           const std::string &Digest);
   ExitCode awaitInForce();
+  void noteNewerSet(const Json &Status);
   ExitCode awaitMoves();
   ExitCode noReplica(const std::string &Problem);
   std::optional<Json> get(const std::string &Target);
@@ -34,6 +35,7 @@
   CommandContext &Context;
   ControlClient Client;
   std::string File;
+  std::uint64_t Version = 0;
   std::uint64_t Revision = 0;
   Json Report = Json::object();
   std::string LastProgress;
--- a/src/amaranthctl/controlclient.cpp
+++ b/src/amaranthctl/controlclient.cpp
@@ -10,6 +10,8 @@
 constexpr int StatusUnavailable = 503;
 
 std::string failureOf(const Endpoint &At, const std::string &Message) {
+  if (Message.starts_with(At.str()))
+    return Message;
   return At.str() + ": " + Message;
 }
 
--- a/src/amaranthctl/reports.cpp
+++ b/src/amaranthctl/reports.cpp
@@ -100,6 +100,8 @@
 
 std::string moveLine(const Json &Event) {
   std::string Reason = textAt(Event, "reason");
+  if (Reason == "none")
+    Reason.clear();
   return timeText(Event, "time_ms") + ' ' + textAt(Event, "id") + ' ' +
          textAt(Event, "service") + ' ' + textAt(Event, "phase") + ' ' +
          shareText(Event, "share") +
--- a/tests/amaranthctl/test_commands.cpp
+++ b/tests/amaranthctl/test_commands.cpp
@@ -124,6 +124,18 @@
   CHECK(count(Replicas.Requests, "/v1/status") == 4);
 }
 
+TEST_CASE("apply says when a newer set has replaced the applied one") {
+  // Guards against a resend of an old set looking as if it were in force.
+  FakeReplicas Replicas;
+  Json Newer = statusOf(60, 13, false);
+  Newer["version"] = 5;
+  Replicas.script(A, "/v1/configurations", {FakeReplicas::json(200, Accepted)});
+  Replicas.script(A, "/v1/status", {FakeReplicas::json(200, Newer)});
+  CommandContext Context = Replicas.context(optionsFor({SetFile}));
+  CHECK((ApplyFile::run(Context) == ExitCode::Ok));
+  CHECK(has(Replicas.Out, "version 5 has been accepted since"));
+}
+
 TEST_CASE("apply resends the same bytes after a lost answer") {
   // Guards against an operator who does not know whether the set was accepted.
   FakeReplicas Replicas;
