--- a/tests/libdistribution/test_mesh.cpp
+++ b/tests/libdistribution/test_mesh.cpp
@@ -188,13 +188,14 @@
     std::size_t Violations = 0;
     MeshOptions Options;
     Options.NodesPerZone = 8;
-    Options.OnChanged = [&](Process &One) {
-      if (!One.Gate->mayServe())
+    auto Check = [&](const Process &One) {
+      if (!One.Alive || !One.Gate->mayServe())
         return;
       Revision &Highest = Served[One.Self.Node];
       Violations += One.State.inForce() < Highest ? 1 : 0;
       Highest = std::max(Highest, One.State.inForce());
     };
+    Options.OnChanged = Check;
     auto Net = makeMesh(Seed, Options);
     Net->Wire.MaxExtra = 400ms;
     Net->Wire.DuplicatePercent = 20;
@@ -222,7 +223,11 @@
         if (Random() % 4 == 0)
           Net->electLeader();
       }
-      Net->Wire.run(Duration(Random() % 600000));
+      for (std::uint64_t Left = Random() % 12; Left > 0; --Left) {
+        Net->Wire.run(50ms);
+        for (const auto &One : Net->Nodes)
+          Check(*One);
+      }
     }
     CHECK(Violations == 0);
     Net->Wire.Cut.clear();
