--- a/bench/policy/movesession.cpp
+++ b/bench/policy/movesession.cpp
@@ -1,6 +1,5 @@
 #include "movesession.h"
 
-#include "waldbound.h"
 #include <algorithm>
 #include <cstdio>
 #include <numeric>
@@ -39,36 +38,6 @@
 
 } // namespace
 
-bool SessionResult::isConvicted() const {
-  const MoveState *Last = this->last();
-  return Last && (this->Reverted || Last->Reason == MoveReason::BadVersion);
-}
-
-double waldBoundOf(const Scenario &Of) {
-  double Good = Of.BaselineFailures;
-  double Calls = 1e9;
-  if (!Of.Bad)
-    return Calls;
-  if (Of.Bad->FailureRate > 0)
-    Calls = waldBound(Good + (1 - Good) * Of.Bad->FailureRate, Good);
-  if (Of.Bad->SlowFactor <= 1)
-    return Calls;
-  LatencySource Latencies(Of.Median, Of.Sigma);
-  LatencyHistogram Sample;
-  for (std::size_t Bucket = 0; Bucket < LatencyHistogram::Buckets; ++Bucket) {
-    Duration Edge = LatencyHistogram::lowerEdge(Bucket);
-    if (Latencies.partFrom(Edge) > 0.01)
-      continue;
-    // The analysis takes the threshold two buckets above the percentile.
-    Duration Slow = LatencyHistogram::lowerEdge(Bucket + 2);
-    double Lowest = 0.5 / 4096;
-    double Usual = std::max(Lowest, Latencies.partFrom(Slow));
-    double Bad = Latencies.partFrom(Slow, Of.Bad->SlowFactor);
-    return std::min(Calls, waldBound(Bad, Usual));
-  }
-  return Calls;
-}
-
 MoveSession::MoveSession(const Scenario &Of, Policy Kind, std::uint64_t Seed,
                          std::function<void(const std::string &)> Trace)
     : Of(Of), Kind(Kind), Numbers(Seed * 2654435761U + 17),
@@ -112,7 +81,7 @@
                         this->wall() + Deadline, this->Of.Probation};
   Split InForce = this->State ? this->State->InForce : splitFor(Share::none());
   MoveStart Start =
-      *MovePacer::begin(this->wall(), Wanted, InForce, this->State);
+      *MoveStart::create(this->wall(), Wanted, InForce, this->State);
   if (Start.Superseded) {
     this->State = Start.Superseded;
     this->Result.Ended.push_back(*Start.Superseded);
@@ -404,18 +373,4 @@
   return MoveSession(Of, Kind, Seed, Trace).run();
 }
 
-const char *toString(Policy Kind) {
-  switch (Kind) {
-  case Policy::Paced:
-    return "paced";
-  case Policy::EvenSplit:
-    return "even split";
-  case Policy::FixedSteps:
-    return "fixed steps";
-  case Policy::FixedThresholds:
-    return "fixed limits";
-  }
-  return "unknown";
-}
-
 } // namespace amaranthward
--- a/src/libpolicy/movepacer.cpp
+++ b/src/libpolicy/movepacer.cpp
@@ -37,15 +37,7 @@
 
 MoveDecision endAs(const MoveState &State, MovePhase Phase, MoveReason Reason,
                    WallTime Now) {
-  MoveDecision Decision = {MoveAction::End, State, false};
-  Decision.Next.Phase = Phase;
-  Decision.Next.Reason = Reason;
-  Decision.Next.EndedAt = Now;
-  if (Phase == MovePhase::TakenBack)
-    Decision.Next.InForce = State.Fallback;
-  if (Phase == MovePhase::Done)
-    Decision.Next.InForce = State.To;
-  return Decision;
+  return {MoveAction::End, State.endedAs(Phase, Reason, Now), false};
 }
 
 void recordEvidence(MoveState &State, const AnalysisVerdict &Verdict) {
@@ -115,30 +107,6 @@
   return Decision;
 }
 
-/// The version that gains most and by how many parts.
-std::pair<VersionName, std::int64_t> largestGain(const Split &From,
-                                                 const Split &To) {
-  std::pair<VersionName, std::int64_t> Largest;
-  for (const auto &[Version, Parts] : To) {
-    std::int64_t Gain = std::int64_t(Parts.parts()) -
-                        std::int64_t(shareIn(From, Version).parts());
-    if (Gain > Largest.second)
-      Largest = {Version, Gain};
-  }
-  return Largest;
-}
-
-VersionName largestOther(const Split &Shares, const VersionName &Except) {
-  VersionName Largest;
-  Share Most;
-  for (const auto &[Version, Parts] : Shares)
-    if (Version != Except && Parts > Most) {
-      Largest = Version;
-      Most = Parts;
-    }
-  return Largest;
-}
-
 } // namespace
 
 const char *toString(MoveAction Action) {
@@ -163,36 +131,6 @@
   return MovePacer(Options);
 }
 
-Result<MoveStart> MovePacer::begin(WallTime Now, const MoveRequest &Wanted,
-                                   const Split &InForce,
-                                   const std::optional<MoveState> &Open) {
-  for (const Split *Shares : {&Wanted.To, &InForce})
-    if (auto Checked = checkSplit(*Shares); !Checked)
-      return fail(Checked.error().Code,
-                  "move \"" + Wanted.Id + "\": " + Checked.error().Message);
-  MoveStart Start;
-  bool Replaces = Open && !Open->ended();
-  if (Replaces)
-    Start.Superseded =
-        endAs(*Open, MovePhase::Superseded, MoveReason::NewTarget, Now).Next;
-  MoveState &Begun = Start.Begun;
-  Begun.Id = Wanted.Id;
-  Begun.Service = Wanted.Service;
-  Begun.From = Begun.InForce = InForce;
-  Begun.To = Wanted.To;
-  Begun.Fallback = Replaces ? Open->Fallback : InForce;
-  Begun.Driver = largestGain(InForce, Wanted.To).first;
-  Begun.Candidate = largestGain(Begun.Fallback, Wanted.To).first;
-  Begun.NeedsEvidence = !Begun.Candidate.empty();
-  if (!Begun.NeedsEvidence)
-    Begun.Candidate = largestGain(Begun.Fallback, InForce).first;
-  Begun.Baseline = largestOther(Begun.Fallback, Begun.Candidate);
-  Begun.StartedAt = Begun.SteppedAt = Now;
-  Begun.Deadline = Wanted.Deadline;
-  Begun.Probation = Wanted.Probation;
-  return Start;
-}
-
 bool MovePacer::isWatched(const MoveState &State, WallTime Now) {
   if (!State.ended())
     return true;
--- a/src/libpolicy/movepacer.h
+++ b/src/libpolicy/movepacer.h
@@ -1,23 +1,12 @@
 #ifndef AMARANTHWARD_LIBPOLICY_MOVEPACER_H
 #define AMARANTHWARD_LIBPOLICY_MOVEPACER_H
 
-#include "libpolicy/movestate.h"
+#include "libpolicy/movestart.h"
 #include "libpolicy/versionanalysis.h"
 #include <map>
-#include <optional>
 
 namespace amaranthward {
 
-/// A wanted split for one service.
-struct MoveRequest {
-  std::string Id;
-  ServiceName Service;
-  /// Adds up to Share::Whole.
-  Split To;
-  WallTime Deadline;
-  Duration Probation = std::chrono::seconds(60);
-};
-
 /// What the leader knows at the time of one decision.
 struct MoveInputs {
   WallTime Now;
@@ -65,13 +54,6 @@
   bool MarkBad = false;
 };
 
-/// A new move and the one that it replaces.
-struct MoveStart {
-  MoveState Begun;
-  /// The open move, ended as Superseded, to be reported once.
-  std::optional<MoveState> Superseded;
-};
-
 struct PacerOptions {
   Duration StepInterval = std::chrono::seconds(1);
   /// Candidate calls per second and route before there is evidence.
@@ -100,14 +82,6 @@
   /// Fails with InvalidArgument on options that allow no step.
   static Result<MovePacer> create(PacerOptions Options = {});
 
-  /// Begins a move at \a Now from \a InForce. \a Open is the service's last
-  /// move, if any; when it has not ended, the new move replaces it and keeps
-  /// its fallback. Fails with InvalidArgument when a split does not add up to
-  /// Share::Whole.
-  static Result<MoveStart> begin(WallTime Now, const MoveRequest &Wanted,
-                                 const Split &InForce,
-                                 const std::optional<MoveState> &Open);
-
   /// Never changes a move that has ended, but for Revert.
   MoveDecision decide(const MoveState &State, const MoveInputs &Inputs) const;
 
--- a/src/libpolicy/movestate.cpp
+++ b/src/libpolicy/movestate.cpp
@@ -106,6 +106,19 @@
               "move reason \"" + Text + "\" does not exist");
 }
 
+MoveState MoveState::endedAs(MovePhase Phase, MoveReason Reason,
+                             WallTime Now) const {
+  MoveState Ended = *this;
+  Ended.Phase = Phase;
+  Ended.Reason = Reason;
+  Ended.EndedAt = Now;
+  if (Phase == MovePhase::TakenBack)
+    Ended.InForce = this->Fallback;
+  if (Phase == MovePhase::Done)
+    Ended.InForce = this->To;
+  return Ended;
+}
+
 Duration MoveState::holdTime() const {
   Duration Half = (this->Deadline - this->StartedAt) / 2;
   return std::max(Duration::zero(), std::min(this->Probation, Half));
--- a/src/libpolicy/movestate.h
+++ b/src/libpolicy/movestate.h
@@ -87,6 +87,8 @@
   /// The move was done and its candidate turned bad afterwards.
   bool Reverted = false;
 
+  /// This move, ended at \a Now with the split that the phase leads to.
+  MoveState endedAs(MovePhase Phase, MoveReason Reason, WallTime Now) const;
   bool ended() const { return this->Phase >= MovePhase::Done; }
   /// Time for which the target is held before the move is done: the probation,
   /// but at most half of the time that the move has.
--- a/tests/libpolicy/test_movepacer.cpp
+++ b/tests/libpolicy/test_movepacer.cpp
@@ -32,7 +32,7 @@
 }
 
 MoveState begin(const Split &To) {
-  return MovePacer::begin(Start, request("m1", To), AllOld, {})->Begun;
+  return MoveStart::create(Start, request("m1", To), AllOld, {})->Begun;
 }
 
 /// Runs a good move until \a Until, with calls that follow the share.
@@ -144,21 +144,21 @@
   REQUIRE((First.Phase == MovePhase::Shifting));
   WallTime At = Start + std::chrono::seconds(20);
   MoveStart Back =
-      *MovePacer::begin(At, request("m2", AllOld), First.InForce, First);
+      *MoveStart::create(At, request("m2", AllOld), First.InForce, First);
   REQUIRE(Back.Superseded);
   CHECK(Back.Superseded->Id == "m1");
   CHECK((Back.Superseded->Phase == MovePhase::Superseded));
   CHECK(Back.Begun.InForce == First.InForce);
   CHECK(Back.Begun.Fallback == AllOld);
   CHECK_FALSE(Back.Begun.NeedsEvidence);
-  MoveStart Again = *MovePacer::begin(At, request("m3", AllNew),
-                                      Back.Begun.InForce, Back.Begun);
+  MoveStart Again = *MoveStart::create(At, request("m3", AllNew),
+                                       Back.Begun.InForce, Back.Begun);
   CHECK(Again.Superseded->Id == "m2");
   CHECK(Again.Begun.InForce == First.InForce);
   CHECK(Again.Begun.Fallback == AllOld);
   CHECK(Again.Begun.NeedsEvidence);
   CHECK_FALSE(
-      MovePacer::begin(At, request("m4", AllNew), AllOld, Back.Superseded)
+      MoveStart::create(At, request("m4", AllNew), AllOld, Back.Superseded)
           ->Superseded);
 }
 
@@ -169,7 +169,7 @@
   MoveState First = begin(AllNew);
   First.InForce = Middle;
   MoveState Back =
-      MovePacer::begin(Start, request("m2", AllOld), Middle, First)->Begun;
+      MoveStart::create(Start, request("m2", AllOld), Middle, First)->Begun;
   CHECK(Back.Candidate == New);
   auto Decision = Pacer.decide(Back, inputs(Duration(0), Judgement::Bad, 100));
   CHECK((Decision.Next.Phase == MovePhase::Done));
@@ -218,9 +218,9 @@
   // Guards against calls without a version.
   Split Short = {{New, Share(9999)}};
   CHECK_FALSE(
-      MovePacer::begin(Start, request("m1", Short), AllOld, {}).has_value());
+      MoveStart::create(Start, request("m1", Short), AllOld, {}).has_value());
   CHECK_FALSE(
-      MovePacer::begin(Start, request("m1", AllNew), Short, {}).has_value());
+      MoveStart::create(Start, request("m1", AllNew), Short, {}).has_value());
   CHECK_FALSE(
       MovePacer::create({.StepInterval = Duration::zero()}).has_value());
 }
