Do not report a late duplicate as a refused revision

A duplicated response with an older state reached the gate, which refused it, and the node then reported a refusal that was none. Found by review; the duplicate test now checks it.

--- a/bench/distribution/main.cpp
+++ b/bench/distribution/main.cpp
@@ -156,6 +156,7 @@
 
 int main(int Count, char **Arguments) {
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
+  std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
   bool Good = true;
   std::stringstream Sizes(FLAGS_nodes);
   for (std::string Size; std::getline(Sizes, Size, ',');)
--- a/src/libdistribution/syncclient.cpp
+++ b/src/libdistribution/syncclient.cpp
@@ -180,19 +180,20 @@
       !this->ReplicatedStaging.add(*Response.ReplicatedChunk))
     return false;
   const Revision Next = this->ReplicatedStaging.target().revision();
-  const bool Fresh = this->State.Cluster.empty() ||
-                     Response.Cluster != this->State.Cluster ||
-                     Next > this->State.inForce();
+  if (Response.Cluster == this->State.Cluster &&
+      Next <= this->State.inForce()) {
+    // A late duplicate is no fault of the sender's state.
+    this->ReplicatedStaging.clear();
+    return false;
+  }
   auto Done = this->checkStaged(Response.Cluster);
-  if (Done && Fresh)
+  if (Done)
     Done = this->ReplicatedStaging.installInto(this->State.Replicated);
   this->ReplicatedStaging.clear();
   if (!Done) {
     this->refuse(Next, Done.error().Message);
     return false;
   }
-  if (!Fresh)
-    return false;
   this->State.Cluster = Response.Cluster;
   this->Refusal.reset();
   return true;
--- a/src/libdistribution/syncserver.h
+++ b/src/libdistribution/syncserver.h
@@ -24,7 +24,8 @@
   /// Time since this process heard from the leader; unset at the leader.
   std::function<Duration(Instant)> SourceAge;
   /// Leader only: the revision, if a majority confirmed the leadership in a
-  /// round that began at or after the given time. Unset on relays.
+  /// round that began at or after the given time; call \a wake after each
+  /// round. Unset on relays.
   std::function<std::optional<Revision>(Instant)> ConfirmedSince;
   /// Leader only: the parents that a child should use; empty when it should
   /// stay (MemberView::parentsFor). Unset on relays.
--- a/tests/libdistribution/test_syncclient.cpp
+++ b/tests/libdistribution/test_syncclient.cpp
@@ -76,6 +76,7 @@
   CHECK(F.State.inForce() == Revision(2));
   CHECK(*F.State.Replicated.find("a") == Json(2U));
   CHECK(F.Changes == 2);
+  CHECK_FALSE(F.Client->refusal().has_value());
 }
 
 TEST_CASE("A closure failure keeps the old state whole and is reported") {
