--- a/tests/libpolicy/test_observationstore.cpp
+++ b/tests/libpolicy/test_observationstore.cpp
@@ -56,7 +56,9 @@
     for (const Observation &One : Arriving)
       REQUIRE(Store.record(One).has_value());
     CHECK(callsIn(Store) == 2 * 10 * (7 + 8 + 9));
-    CHECK(Store.sums(Service).begin()->second.Failures == 2 * (7 + 8 + 9));
+    const CallCounters &Sum = Store.sums(Service).begin()->second;
+    CHECK(Sum.Failures == 2 * (7 + 8 + 9));
+    CHECK(Sum.Latency.total() == Sum.Calls - Sum.Failures);
   }
 }
 
