--- a/src/libcontrol/applyconfiguration.cpp
+++ b/src/libcontrol/applyconfiguration.cpp
@@ -1,7 +1,7 @@
 #include "libcontrol/applyconfiguration.h"
 
 #include "libconfig/configurationcodec.h"
-#include "libpolicy/movepacer.h"
+#include "libpolicy/movestart.h"
 
 namespace amaranthward {
 
@@ -106,7 +106,8 @@
   std::optional<MoveState> Last;
   if (State.Move)
     Last = State.Move->State;
-  auto Start = MovePacer::begin(this->SubmittedAt, Wanted, State.InForce, Last);
+  auto Start =
+      MoveStart::create(this->SubmittedAt, Wanted, State.InForce, Last);
   if (!Start)
     return;
   if (Start->Superseded)
