Fix lint findings in distribution

Two findings of clang-tidy: a product widened after the multiplication and a search for a single character. Left: its reports on a defaulted operator<=>, which libcore/ids.h has as well.

--- a/bench/distribution/main.cpp
+++ b/bench/distribution/main.cpp
@@ -16,6 +16,7 @@
 // Request line, headers and framing of one HTTP message of this protocol.
 constexpr std::uint64_t HttpBytes = 200;
 constexpr std::uint64_t MaxNodeBytesPerSecond = 19'000;
+constexpr std::size_t ChunkBytes = 65536;
 constexpr Duration MaxConvergence = 4s;
 
 struct Traffic {
@@ -72,7 +73,7 @@
   std::size_t Chunks = 0;
   Duration Longest = 0us;
   const ResourceTable &Table = Net.Leader.State.Members;
-  TableChunk Chunk = Table.read(TableVersion(), 64 * 1024);
+  TableChunk Chunk = Table.read(TableVersion(), ChunkBytes);
   for (;;) {
     const std::string Text = dumpJson(toJson(Chunk));
     const Instant Begin = monotonicNow();
@@ -82,7 +83,7 @@
     ++Chunks;
     if (!Parsed || !Parsed->Next)
       break;
-    Chunk = Table.read(*Parsed->Next, 64 * 1024);
+    Chunk = Table.read(*Parsed->Next, ChunkBytes);
   }
   std::printf("  member snapshot    %zu bytes in %zu chunks, longest parse "
               "%.2f ms (wall)\n",
--- a/src/libdistribution/syncserver.h
+++ b/src/libdistribution/syncserver.h
@@ -12,7 +12,7 @@
 
 struct SyncServerOptions {
   Duration Hold = std::chrono::seconds(1);
-  std::size_t MaxChunkBytes = 64 * 1024;
+  std::size_t MaxChunkBytes = std::size_t(64) * 1024;
   /// Shortest time between two wake-ups for member changes.
   Duration MemberLinger = std::chrono::milliseconds(100);
   /// A child that has been silent for this time counts as new.
--- a/tests/libdistribution/test_revisiongate.cpp
+++ b/tests/libdistribution/test_revisiongate.cpp
@@ -46,7 +46,7 @@
   CHECK_FALSE(Gate.mayServe());
   Gate.applied(Cluster, Revision(5));
   CHECK_FALSE(Gate.mayServe());
-  CHECK(Gate.waitReason().find("a") != std::string::npos);
+  CHECK(Gate.waitReason().find(": a") != std::string::npos);
   Gate.confirmed(Cluster, Revision(7));
   CHECK_FALSE(Gate.mayServe());
   Gate.applied(Cluster, Revision(7));
