Report observations within 200 ms and tell the pacer all it asks for

The analysis expects reports every 200 ms; observations waited for the next request, up to the hold time of 1 s. Nodes now interrupt a parked request, report whether their own evidence rejects the candidate, and a new leader measures no call rate while the nodes send their counters again.

--- a/src/amaranthward/moveobserver.cpp
+++ b/src/amaranthward/moveobserver.cpp
@@ -126,6 +126,7 @@
     for (const auto &[Key, Counters] : Of.Counters) {
       MoveReport One;
       One.MoveId = Of.MoveId;
+      One.Rejects = Of.Reflex && Of.Reflex->rejects();
       One.Counters.Reporter = this->Self;
       One.Counters.Process = countingProcess(this->Start, Of.MoveId);
       One.Counters.Service = Service;
--- a/src/amaranthward/nodedistribution.cpp
+++ b/src/amaranthward/nodedistribution.cpp
@@ -239,7 +239,10 @@
 void NodeDistribution::leave() { this->Client->leave(this->Loop.now()); }
 
 void NodeDistribution::observe(std::optional<Json> Counters) {
+  bool IsReport = Counters.has_value();
   this->Client->observe(std::move(Counters));
+  if (IsReport)
+    this->Client->reportSoon(this->Loop.now());
 }
 
 std::vector<Member> NodeDistribution::members() const {
--- a/src/libcontrol/movedriver.cpp
+++ b/src/libcontrol/movedriver.cpp
@@ -3,6 +3,7 @@
 #include "libcontrol/movereport.h"
 #include "libcontrol/recordmove.h"
 #include "libcore/log.h"
+#include <algorithm>
 
 namespace amaranthward {
 
@@ -11,6 +12,17 @@
 // Window over which call rates are measured.
 constexpr Duration RateWindow = std::chrono::seconds(1);
 constexpr double RateSmoothing = 0.5;
+// Time in which the nodes have sent their counters to a new leader.
+constexpr Duration ResendTime = std::chrono::milliseconds(2500);
+
+double rejectingPart(const std::map<NodeName, bool> &Reporters) {
+  if (Reporters.empty())
+    return 0;
+  auto Rejecting =
+      std::count_if(Reporters.begin(), Reporters.end(),
+                    [](const auto &Entry) { return Entry.second; });
+  return static_cast<double>(Rejecting) / static_cast<double>(Reporters.size());
+}
 
 std::vector<RouteName> routesOf(const ControlData &Data,
                                 const ServiceName &Service) {
@@ -69,8 +81,14 @@
     if (Found == Data.Services.end() || !Found->second.Move ||
         Found->second.Move->State.Id != One.MoveId)
       continue;
-    if (this->trackerFor(One.Counters.Service, *Found->second.Move, Data))
-      (void)this->Store.record(One.Counters);
+    Tracker *Of =
+        this->trackerFor(One.Counters.Service, *Found->second.Move, Data);
+    if (!Of)
+      continue;
+    Of->Reporters[One.Counters.Reporter] = One.Rejects;
+    if (auto Recorded = this->Store.record(One.Counters); !Recorded)
+      logFor("moves")->warn("A report is dropped: {}.",
+                            Recorded.error().Message);
   }
 }
 
@@ -78,6 +96,8 @@
                                             const std::vector<Member> &Members,
                                             Instant Now, WallTime Wall) {
   std::vector<std::string> Payloads;
+  if (!this->LeadingSince)
+    this->LeadingSince = Now;
   for (const auto &[Service, State] : Data.Services) {
     if (!State.Move)
       continue;
@@ -114,6 +134,7 @@
   for (const auto &[Service, Of] : this->Trackers)
     this->Store.forget(Service);
   this->Trackers.clear();
+  this->LeadingSince.reset();
 }
 
 Json MoveDriver::dump() const {
@@ -147,14 +168,13 @@
               .first->second;
 }
 
-void MoveDriver::sampleRates(Tracker &Of, const ObservationStore::Sums &Sums,
+void MoveDriver::sampleRates(Tracker &Of, const CallCounters &All,
                              Instant Now) const {
   if (Of.LastSample && Now - *Of.LastSample < RateWindow)
     return;
-  CallCounters All;
-  for (const auto &[Key, Counters] : Sums)
-    All.add(Counters);
-  if (Of.LastSample && All.Calls >= Of.LastCalls) {
+  // Nodes send their whole counters to a new leader, which is no call rate.
+  bool Settled = Now - *this->LeadingSince >= ResendTime;
+  if (Settled && Of.LastSample && All.Calls >= Of.LastCalls) {
     double Seconds =
         std::chrono::duration<double>(Now - *Of.LastSample).count();
     double Rate = static_cast<double>(All.Calls - Of.LastCalls) / Seconds;
@@ -170,11 +190,17 @@
                                  const std::vector<Member> &Members,
                                  Instant Now, WallTime Wall) {
   const auto &Sums = this->Store.sums(Move.Service);
-  this->sampleRates(Of, Sums, Now);
+  CallCounters All;
+  for (const auto &[Key, Counters] : Sums)
+    All.add(Counters);
+  this->sampleRates(Of, All, Now);
   MoveInputs Inputs;
   Inputs.Now = Wall;
   Inputs.Verdict = Of.Analysis.step(Now, totalsOf(Sums, Move));
   Inputs.CallsPerSecond = Of.CallsPerSecond;
+  Inputs.AllCalls = All.Calls;
+  Inputs.Leading = Now - *this->LeadingSince;
+  Inputs.RejectingNodes = rejectingPart(Of.Reporters);
   Inputs.Demand = Of.CallsPerSecond * Of.MeanLatencySeconds;
   Inputs.Capacity = capacityOf(Move.Service, Data, Members);
   Inputs.Routes = static_cast<std::uint32_t>(Of.Routes.size());
--- a/src/libcontrol/movedriver.h
+++ b/src/libcontrol/movedriver.h
@@ -51,6 +51,8 @@
     double CallsPerSecond = 0;
     double MeanLatencySeconds = 0;
     std::optional<Instant> LastSample;
+    /// Reporting nodes, and whether their own evidence rejects the candidate.
+    std::map<NodeName, bool> Reporters;
     std::optional<Instant> ProposedAt;
     std::uint64_t ProposedSteps = 0;
   };
@@ -60,8 +62,7 @@
 
   Tracker *trackerFor(const ServiceName &Service, const MoveRecord &Move,
                       const ControlData &Data);
-  void sampleRates(Tracker &Of, const ObservationStore::Sums &Sums,
-                   Instant Now) const;
+  void sampleRates(Tracker &Of, const CallCounters &All, Instant Now) const;
   MoveInputs inputsFor(const MoveState &Move, Tracker &Of,
                        const ControlData &Data,
                        const std::vector<Member> &Members, Instant Now,
@@ -69,6 +70,7 @@
 
   MovePacer Pacer;
   ObservationStore Store;
+  std::optional<Instant> LeadingSince;
   std::map<ServiceName, Tracker> Trackers;
 };
 
--- a/src/libcontrol/movereport.cpp
+++ b/src/libcontrol/movereport.cpp
@@ -7,6 +7,8 @@
   for (const MoveReport &One : Reports) {
     Json Entry = Observation::toJson(One.Counters);
     Entry["m"] = One.MoveId;
+    if (One.Rejects)
+      Entry["x"] = true;
     List.push_back(std::move(Entry));
   }
   return List;
@@ -19,7 +21,8 @@
   for (const Json &Entry : Value) {
     auto Counters = Observation::fromJson(Entry);
     if (Counters)
-      Reports.push_back({textAt(Entry, "m"), std::move(*Counters)});
+      Reports.push_back(
+          {textAt(Entry, "m"), std::move(*Counters), boolAt(Entry, "x")});
   }
   return Reports;
 }
--- a/src/libcontrol/movereport.h
+++ b/src/libcontrol/movereport.h
@@ -13,6 +13,8 @@
 struct MoveReport {
   std::string MoveId;
   Observation Counters;
+  /// The node's own evidence shows that the candidate is bad.
+  bool Rejects = false;
 
   static Json listToJson(const std::vector<MoveReport> &Reports);
   /// Malformed entries are left out.
--- a/src/libdistribution/syncclient.cpp
+++ b/src/libdistribution/syncclient.cpp
@@ -333,6 +333,10 @@
   this->CountersSentAt.reset();
 }
 
+void SyncClient::reportSoon(Instant Now) {
+  this->interrupt(Now + this->Options.ObservationLinger, Now);
+}
+
 void SyncClient::addUplink(const UplinkBatch &Batch, Urgency How, Instant Now) {
   this->Pending.merge(Batch);
   if (How == Urgency::Immediate)
--- a/src/libdistribution/syncclient.h
+++ b/src/libdistribution/syncclient.h
@@ -17,8 +17,8 @@
   Duration MaxRenewalAge = std::chrono::seconds(3);
   /// Non-urgent reports from children are collected for this time.
   Duration UplinkLinger = std::chrono::milliseconds(100);
-  /// Observations from children are collected for this time.
-  Duration ObservationLinger = std::chrono::milliseconds(300);
+  /// Observations, own and of children, are collected for this time.
+  Duration ObservationLinger = std::chrono::milliseconds(200);
   /// Shortest time between two requests that interrupt a parked one.
   Duration MinInterruptGap = std::chrono::milliseconds(20);
   /// An announcement that the member table does not show after this time is
@@ -83,6 +83,10 @@
   /// Cumulative counters to report with the next request; none stops the
   /// reports.
   void observe(std::optional<Json> NewCounters);
+  /// Sends the counters within the observation linger, also when a request is
+  /// parked. The analysis of a version needs reports more often than once in a
+  /// hold time.
+  void reportSoon(Instant Now);
   /// Passes on what children reported.
   void addUplink(const UplinkBatch &Batch, Urgency How, Instant Now);
   /// Asks for a confirmed revision until one arrives (safe start). One
