Do not advance the time of a session while a leader is known

Each look-up of the leader ran the fixture for 100 ms, so a second of a session had a quarter of its calls.

--- a/tests/libcontrol/controlfixture.cpp
+++ b/tests/libcontrol/controlfixture.cpp
@@ -62,11 +62,11 @@
 
 std::size_t ControlFixture::waitForLeader() {
   for (int Round = 0; Round < 100; ++Round) {
-    this->run(std::chrono::milliseconds(100));
     for (std::size_t Number = 0; Number < this->size(); ++Number) {
       if (!this->Cut[Number] && this->Replicas[Number]->isLeader())
         return Number;
     }
+    this->run(std::chrono::milliseconds(100));
   }
   FAIL("no leader within 10 s");
   return 0;
