Place idempotency claims before keyed requests run

A caller's resend through another node ran again, because the pure claim state machines were not connected. Ruled out: trusting every new gate, since two that join at once can outvote the one holder that knows an earlier claim.

--- a/src/amaranthward/nodedistribution.cpp
+++ b/src/amaranthward/nodedistribution.cpp
@@ -112,6 +112,7 @@
   };
   Made.OnConfirmed = [this](const ClusterId &Cluster, Revision Current) {
     this->Gate.confirmed(Cluster, Current);
+    this->Confirmed = Current;
   };
   Made.Random = systemRandom();
   return Made;
--- a/src/amaranthward/nodedistribution.h
+++ b/src/amaranthward/nodedistribution.h
@@ -41,6 +41,12 @@
   std::vector<DepartedMember> departed() const;
   Revision inForce() const { return this->State.inForce(); }
   bool mayServe() const { return this->Gate.mayServe(); }
+  /// The state in force was known to be current at some time since the start;
+  /// unlike \a mayServe, also before the first configuration set.
+  bool wasCurrent() const {
+    return this->mayServe() ||
+           (this->Confirmed && *this->Confirmed <= this->inForce());
+  }
   std::string waitReason() const { return this->Gate.waitReason(); }
   /// The member table shows what this node announces.
   bool announced() const { return this->Client->announced(); }
@@ -83,6 +89,7 @@
   std::unique_ptr<SyncClient> Client;
   std::unique_ptr<SyncServer> Server;
   std::shared_ptr<const RoutingView> View;
+  std::optional<Revision> Confirmed;
   std::deque<InForceEntry> Log;
   Instant NextWitnessRound;
 };
--- a/src/amaranthward/nodeprocess.cpp
+++ b/src/amaranthward/nodeprocess.cpp
@@ -56,6 +56,13 @@
 }
 
 Result<void> NodeProcess::createRoles() {
+  auto ClaimsMade =
+      ClaimService::create(this->Loop, *this->Client, this->Identity);
+  if (!ClaimsMade)
+    return tl::make_unexpected(ClaimsMade.error());
+  this->Claims = std::move(*ClaimsMade);
+  this->Claims->addPeerRoutes(this->PeerRouter);
+
   EntryOptions EntrySettings;
   EntrySettings.Self = this->Identity;
   EntryHooks Hooks;
@@ -63,6 +70,14 @@
     this->Observed = true;
     this->Observer.record(Attempt);
   };
+  Hooks.Claim = [this](const ClaimRequest &Request,
+                       std::function<void(ClaimAnswer)> OnAnswer) {
+    this->Claims->claim(Request, std::move(OnAnswer));
+  };
+  Hooks.Release = [this](const ServiceName &Service, const std::string &Key,
+                         const RequestId &Id) {
+    this->Claims->release(Service, Key, Id);
+  };
   auto EntryMade = EntryRole::create(this->Loop, *this->Client,
                                      std::move(EntrySettings), Hooks);
   if (!EntryMade)
@@ -156,6 +171,7 @@
   State.View = this->Distribution->view();
   State.Applied = this->Distribution->inForce();
   State.Members = this->Distribution->members();
+  this->Claims->update(State, this->Distribution->wasCurrent());
   this->Entry->update(State);
   this->Gate->update(State);
   if (State.View)
@@ -177,6 +193,10 @@
 
 void NodeProcess::tick() {
   this->Distribution->tick();
+  if (this->Distribution->wasCurrent() && !this->WasCurrent) {
+    this->WasCurrent = true;
+    this->onStateChanged();
+  }
   if (this->Loop.now() >= this->NextObservation)
     this->observe();
   if (this->Stopping != StopPhase::Running)
@@ -240,6 +260,7 @@
           {"distribution", this->Distribution->dump()},
           {"entry", this->Entry->dump()},
           {"gate", this->Gate->dump()},
+          {"claims_held", this->Claims->held()},
           {"moves", this->Observer.dump()},
           {"metrics", this->Registry.toJson()}};
 }
--- a/src/amaranthward/nodeprocess.h
+++ b/src/amaranthward/nodeprocess.h
@@ -4,6 +4,7 @@
 #include "amaranthward/moveobserver.h"
 #include "amaranthward/nodedistribution.h"
 #include "libnet/httpserver.h"
+#include "libproxy/claimservice.h"
 #include "libproxy/entryrole.h"
 #include "libproxy/gaterole.h"
 
@@ -58,9 +59,11 @@
   HttpRouter LocalRouter;
   MoveObserver Observer;
   bool Observed = false;
+  bool WasCurrent = false;
   Instant NextObservation;
   std::unique_ptr<HttpClient> Client;
   std::unique_ptr<NodeDistribution> Distribution;
+  std::unique_ptr<ClaimService> Claims;
   std::unique_ptr<EntryRole> Entry;
   std::unique_ptr<GateRole> Gate;
   std::unique_ptr<HttpServer> CallerServer;
--- /dev/null
+++ b/src/libproxy/claimcodec.h
@@ -0,0 +1,18 @@
+#ifndef AMARANTHWARD_LIBPROXY_CLAIMCODEC_H
+#define AMARANTHWARD_LIBPROXY_CLAIMCODEC_H
+
+#include "libcore/json.h"
+#include "libproxy/claimorder.h"
+
+namespace amaranthward {
+
+Json toJson(const ClaimOrder &Order);
+/// Fails with InvalidArgument on a missing or malformed field.
+Result<ClaimOrder> claimOrderFromJson(const Json &Value);
+Json toJson(const ClaimReply &Reply);
+/// Fails with InvalidArgument on a missing or malformed field.
+Result<ClaimReply> claimReplyFromJson(const Json &Value);
+
+} // namespace amaranthward
+
+#endif
--- a/src/libproxy/claimranking.cpp
+++ b/src/libproxy/claimranking.cpp
@@ -82,12 +82,33 @@
 }
 
 bool ClaimRanking::isMature(const ServiceName &Service, Instant Now) const {
+  const Gate *Own = this->own(Service);
+  return Own && (this->Founded.contains(Service) ||
+                 Own->FirstSeen + this->Times.horizon() <= Now);
+}
+
+void ClaimRanking::noteServices(
+    const std::function<bool(const ServiceName &)> &Exists, Instant Now) {
+  for (const auto &[Service, All] : this->Gates) {
+    const Gate *Own = this->own(Service);
+    if (!Own)
+      continue;
+    if (!Exists(Service)) {
+      this->Absent.insert(Service);
+      this->Founded.erase(Service);
+    } else if (this->Absent.erase(Service) > 0 &&
+               Own->FirstSeen + FoundingLag <= Now) {
+      this->Founded.insert(Service);
+    }
+  }
+}
+
+const ClaimRanking::Gate *ClaimRanking::own(const ServiceName &Service) const {
   auto All = this->Gates.find(Service);
   if (All == this->Gates.end())
-    return false;
-  auto Own = All->second.find(this->Self);
-  return Own != All->second.end() &&
-         Own->second.FirstSeen + this->Times.horizon() <= Now;
+    return nullptr;
+  auto Found = All->second.find(this->Self);
+  return Found == All->second.end() ? nullptr : &Found->second;
 }
 
 } // namespace amaranthward
--- a/src/libproxy/claimranking.h
+++ b/src/libproxy/claimranking.h
@@ -2,7 +2,9 @@
 #define AMARANTHWARD_LIBPROXY_CLAIMRANKING_H
 
 #include "libproxy/claimorder.h"
+#include <functional>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -14,6 +16,8 @@
 class ClaimRanking {
 public:
   static constexpr std::size_t HolderCount = 3;
+  /// Time in which a change of the members is in force everywhere.
+  static constexpr Duration FoundingLag = std::chrono::seconds(4);
 
   ClaimRanking(NodeName Self, Incarnation Start, ClaimTimes Times)
       : Self(std::move(Self), Start), Times(Times) {}
@@ -29,8 +33,14 @@
   /// Whether this node is one of them.
   bool isHolder(const ServiceName &Service, const std::string &Key,
                 Instant Now) const;
-  /// Whether this node has been a known gate of the service for the horizon.
-  /// Only then can it know that no earlier claim exists.
+  /// Notes which services the state in force has. A gate that was known for
+  /// \a FoundingLag when its service first appeared has missed no claim, since
+  /// nothing could be routed to the service before.
+  void noteServices(const std::function<bool(const ServiceName &)> &Exists,
+                    Instant Now);
+  /// Whether this node has been a known gate of the service for the horizon,
+  /// or since before the service appeared. Only then can it know that no
+  /// earlier claim exists.
   bool isMature(const ServiceName &Service, Instant Now) const;
 
 private:
@@ -43,10 +53,14 @@
   };
 
   bool counts(const Gate &One, Instant Now) const;
+  const Gate *own(const ServiceName &Service) const;
 
   GateId Self;
   ClaimTimes Times;
   std::map<ServiceName, std::map<GateId, Gate>> Gates;
+  /// Services of this gate that the state in force did not have.
+  std::set<ServiceName> Absent;
+  std::set<ServiceName> Founded;
 };
 
 } // namespace amaranthward
--- a/src/libproxy/entrycall.cpp
+++ b/src/libproxy/entrycall.cpp
@@ -1,10 +1,12 @@
 #include "libproxy/entrycall.h"
 #include "libproxy/attemptresult.h"
+#include "libproxy/claimtable.h"
 
 namespace amaranthward {
 
 namespace {
 
+constexpr int BadRequest = 400;
 constexpr int Unavailable = 503;
 constexpr int BadGateway = 502;
 constexpr int GatewayTimeout = 504;
@@ -143,6 +145,11 @@
 }
 
 void EntryCall::claim() {
+  if (this->Exchange->request().Headers.get(header::IdempotencyKey).size() >
+      ClaimTable::MaxKeyBytes) {
+    this->giveUp(Outcome::NotRun, BadRequest, "key-too-long");
+    return;
+  }
   if (!this->BodyComplete)
     this->Exchange->pauseBody();
   std::weak_ptr<EntryCall> Self = this->weak_from_this();
@@ -163,6 +170,7 @@
 void EntryCall::onClaim(const ClaimAnswer &Answer) {
   switch (Answer.Verdict) {
   case ClaimAnswer::Kind::Granted:
+    this->Granted = true;
     this->forward();
     return;
   case ClaimAnswer::Kind::Attach:
@@ -175,6 +183,15 @@
   this->giveUp(Outcome::Unknown, BadGateway, "claim-unknown");
 }
 
+void EntryCall::releaseClaim() {
+  if (!this->Granted || this->MayHaveRun || !this->Shared.Hooks.Release)
+    return;
+  this->Granted = false;
+  this->Shared.Hooks.Release(
+      this->Route.Service,
+      this->Exchange->request().Headers.get(header::IdempotencyKey), this->Id);
+}
+
 void EntryCall::forward() {
   ++this->Attempts;
   ++this->Shared.Counters.Attempts;
@@ -372,6 +389,8 @@
   // The gate of an earlier request knows nothing of attempts at other gates.
   if (this->MayHaveRun || this->Attached)
     Known = Outcome::Unknown;
+  if (Known == Outcome::NotRun)
+    this->releaseClaim();
   ++(Known == Outcome::NotRun ? this->Shared.Counters.NotRun
                               : this->Shared.Counters.Unknown);
   if (this->HeadSent)
--- a/src/libproxy/entrycall.h
+++ b/src/libproxy/entrycall.h
@@ -37,6 +37,7 @@
   void claim();
   void onClaim(const ClaimAnswer &Answer);
   void forward();
+  void releaseClaim();
   void attachTo(const ClaimAnswer &Answer);
   HttpRequestHead forwardHead(const RequestId &Id, const Member &Gate) const;
   ForwardAttempt::Hooks attemptHooks();
@@ -72,6 +73,8 @@
   bool Counted = false;
   /// Waits for the response to an earlier request with the same key.
   bool Attached = false;
+  /// The claim on the key is this call's own.
+  bool Granted = false;
   bool HeadSent = false;
   bool Discarding = false;
   bool MayHaveRun = false;
--- a/src/libproxy/entrycontext.h
+++ b/src/libproxy/entrycontext.h
@@ -23,6 +23,10 @@
   /// Consulted before each forward of a request that is not idempotent and
   /// has a key. Without it such requests are forwarded directly.
   ClaimFunction Claim;
+  /// The claim was granted and the request was not run.
+  std::function<void(const ServiceName &, const std::string &Key,
+                     const RequestId &)>
+      Release;
 };
 
 /// Counters of the entry role.
--- a/tests/processes/test_processes.py
+++ b/tests/processes/test_processes.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import http.client
 import os
 import shutil
 import signal
@@ -276,6 +277,74 @@
         self.assertEqual(idempotent, 0, self.callers.reasons)
 
 
+class IdempotencyKeys(MeshTest):
+    def post(self, index, key, order, timeout=10):
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.mesh.caller_port(index), timeout=timeout)
+        try:
+            connection.request("POST", "/orders", body=b"{}", headers={
+                "Idempotency-Key": key, "X-Order-Id": order})
+            response = connection.getresponse()
+            response.read()
+            return response.status, response.getheader("Amaranth-Outcome")
+        except OSError:
+            return 0, "no-answer"
+        finally:
+            connection.close()
+
+    def runs_of(self, order):
+        return sum(
+            self.mesh.executions(u.index)["orders"].get(order, 0)
+            for u in self.mesh.upstreams)
+
+    def test_resend_through_another_node_runs_once(self):
+        # Guards against a rider who is charged twice for a resent order.
+        self.start("--latency_us=50000")
+        time.sleep(meshlib.FOUNDING_SECONDS)
+        self.apply_everywhere(configuration(1))
+        for number in range(30):
+            order = f"resent-{number}"
+            first = self.post(number % 6, order, order)
+            second = self.post((number + 1) % 6, order, order)
+            self.assertEqual(first, (200, "answered"))
+            self.assertEqual(second, (200, "answered"))
+            self.assertEqual(self.runs_of(order), 1, order)
+
+    def test_racing_resends_run_once(self):
+        # Guards against two copies that are sent at the same time through
+        # several nodes.
+        self.start("--latency_us=50000")
+        time.sleep(meshlib.FOUNDING_SECONDS)
+        self.apply_everywhere(configuration(1))
+        for number in range(20):
+            order = f"racing-{number}"
+            threads = [threading.Thread(target=self.post,
+                                        args=(n, order, order))
+                       for n in range(3)]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            self.assertEqual(self.runs_of(order), 1, order)
+
+    def test_resend_after_its_gates_were_killed_is_never_run_again(self):
+        # Guards against a second run when holders of the claim are gone: the
+        # outcome must be unknown, or the first answer.
+        self.start()
+        time.sleep(meshlib.FOUNDING_SECONDS)
+        self.apply_everywhere(configuration(1))
+        orders = [f"kept-{number}" for number in range(30)]
+        for order in orders:
+            self.assertEqual(self.post(0, order, order), (200, "answered"))
+        for index in (3, 4, 5):
+            self.mesh.stop(f"node-{index}", signal.SIGKILL)
+            self.mesh.start_node(self.mesh.upstreams[index])
+        self.mesh.wait_members(6)
+        for order in orders:
+            self.post(1, order, order)
+            self.assertEqual(self.runs_of(order), 1, order)
+
+
 class Moves(MeshTest):
     versions = ["v1", "v1", "v1", "v2", "v2", "v2"]
 
--- a/util/callers.py
+++ b/util/callers.py
@@ -10,10 +10,11 @@
 class Callers:
     """Threads that call several nodes at a steady rate."""
 
-    def __init__(self, mesh, entries, threads=6, interval=0.02):
+    def __init__(self, mesh, entries, threads=6, interval=0.02, keyed=False):
         self.mesh = mesh
         self.entries = entries
         self.interval = interval
+        self.keyed = keyed
         self.running = True
         self.lock = threading.Lock()
         self.calls = collections.Counter()
@@ -62,8 +63,10 @@
     def next_call(self, step):
         if step % 10 == 0:
             order = f"order-{next(self.numbers)}"
-            return ("order", "POST", "/orders",
-                    {"Idempotency-Key": order, "X-Order-Id": order}, b"{}")
+            headers = {"X-Order-Id": order}
+            if self.keyed:
+                headers["Idempotency-Key"] = order
+            return "order", "POST", "/orders", headers, b"{}"
         if step % 10 == 5:
             return "stock", "GET", "/stock/7", {}, None
         if step % 50 == 7:
--- a/util/demo.py
+++ b/util/demo.py
@@ -66,9 +66,10 @@
         mesh.start_all()
         meshlib.wait_until(mesh.status, 20, "a control leader")
         mesh.wait_members(len(mesh.upstreams))
+        time.sleep(meshlib.FOUNDING_SECONDS)
         self.apply("set-1.yaml")
         quiet = self.measure_quiet_bytes()
-        callers = Callers(mesh, [0, 3, 4, 6, 10, 12])
+        callers = Callers(mesh, [0, 3, 4, 6, 10, 12], keyed=True)
         time.sleep(4)  # Lets the upstreams warm up under load.
         self.apply("set-2.yaml")
         end = meshlib.wait_until(self.finished_move, 40, "the end of the move")
--- a/util/mesh.py
+++ b/util/mesh.py
@@ -17,6 +17,9 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 DAEMON = os.path.join(ROOT, "build/src/amaranthward/amaranthward")
 CTL = os.path.join(ROOT, "build/src/amaranthctl/amaranthctl")
+# Nodes that knew each other for this time before a service appeared can tell
+# at once that no claim on an idempotency key exists.
+FOUNDING_SECONDS = 4.5
 UPSTREAM = os.path.join(ROOT, "build/tests/fakes/fakeupstream")
 
 
