--- a/src/libcontrol/movedriver.cpp
+++ b/src/libcontrol/movedriver.cpp
@@ -72,7 +72,7 @@
   auto Store = ObservationStore::create({});
   if (!Store)
     return tl::make_unexpected(Store.error());
-  return MoveDriver(std::move(*Pacer), std::move(*Store));
+  return MoveDriver(*Pacer, std::move(*Store));
 }
 
 void MoveDriver::observe(const Json &Report, const ControlData &Data) {
--- a/tests/libnet/test_malformedrequests.cpp
+++ b/tests/libnet/test_malformedrequests.cpp
@@ -122,7 +122,10 @@
   for (const std::string &Each : badChunks()) {
     INFO(Each);
     int Before = Handled;
-    std::string Response = Net.exchangeRaw({ChunkedHead + Each + NextRequest});
+    std::string Request = ChunkedHead;
+    Request += Each;
+    Request += NextRequest;
+    std::string Response = Net.exchangeRaw({Request});
     CHECK(Response.substr(0, 12) == "HTTP/1.1 400");
     CHECK(Handled == Before + 1);
   }
