--- a/src/libproxy/gaterole.cpp
+++ b/src/libproxy/gaterole.cpp
@@ -80,12 +80,29 @@
     this->refuse(*Exchange, Unavailable, Outcome::NotRun, "gate-restarted");
   else if (auto Known = this->Table.find(Request->Id))
     Known->attach(Exchange);
+  else if (Request->Attach && Request->Keyed)
+    this->awaitArrival(*Request, Exchange,
+                       this->Loop.now() + this->Options.KeyedArrivalWait);
   else if (Request->Attach)
     this->attach(*Request, Exchange);
   else
     this->admit(std::move(*Request), std::move(Exchange));
 }
 
+void GateRole::awaitArrival(const ForwardedRequest &Request,
+                            const std::shared_ptr<ServerExchange> &Exchange,
+                            Instant Until) {
+  if (auto Known = this->Table.find(Request.Id))
+    return Known->attach(Exchange);
+  if (this->Loop.now() >= Until)
+    return this->attach(Request, Exchange);
+  std::weak_ptr<bool> Guard = this->Alive;
+  this->Loop.after(ArrivalCheck, [this, Guard, Request, Exchange, Until] {
+    if (!Guard.expired())
+      this->awaitArrival(Request, Exchange, Until);
+  });
+}
+
 void GateRole::attach(const ForwardedRequest &Request,
                       const std::shared_ptr<ServerExchange> &Exchange) {
   // The first arrival may still be on its way; it is refused from now on.
--- a/src/libproxy/gaterole.h
+++ b/src/libproxy/gaterole.h
@@ -13,6 +13,9 @@
   Duration AnnouncementLife = std::chrono::seconds(3);
   /// Time between interim responses to a waiting entry.
   Duration Heartbeat = std::chrono::milliseconds(200);
+  /// How long a re-attach by idempotency key waits for the first arrival. The
+  /// entry that won the claim may forward later than another one re-attaches.
+  Duration KeyedArrivalWait = std::chrono::milliseconds(250);
 };
 
 struct GateHooks {
@@ -49,6 +52,9 @@
 private:
   GateRole(EventLoop &Loop, HttpClient &Client, GateOptions Options,
            GateHooks Hooks);
+  void awaitArrival(const ForwardedRequest &Request,
+                    const std::shared_ptr<ServerExchange> &Exchange,
+                    Instant Until);
   void attach(const ForwardedRequest &Request,
               const std::shared_ptr<ServerExchange> &Exchange);
   void admit(ForwardedRequest Request,
@@ -68,8 +74,12 @@
   void tick();
   std::string load() const;
 
+  static constexpr Duration ArrivalCheck = std::chrono::milliseconds(5);
+
   EventLoop &Loop;
   HttpClient &Client;
+  /// Expires with this object; timers check it.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   GateOptions Options;
   GateHooks Hooks;
   ProxyState State;
