--- a/util/mesh.py
+++ b/util/mesh.py
@@ -2,8 +2,8 @@
 process tests.
 
 Addresses: control replica i at 127.0.0.1:BASE+i; node i has its callers'
-listener at BASE+100+i, its peer listener at BASE+200+i, its local listener at
-BASE+300+i and its upstream at BASE+400+i.
+listener at BASE+STRIDE+i, its peer listener at BASE+2*STRIDE+i, its local
+listener at BASE+3*STRIDE+i and its upstream at BASE+4*STRIDE+i.
 """
 
 import http.client
@@ -60,9 +60,10 @@
 
 
 class Mesh:
-    def __init__(self, folder, base, replicas, upstreams, region):
+    def __init__(self, folder, base, replicas, upstreams, region, stride=100):
         self.folder = folder
         self.base = base
+        self.stride = stride
         self.replicas = replicas
         self.upstreams = upstreams
         self.region = region
@@ -75,16 +76,16 @@
         return self.base + replica
 
     def caller_port(self, index):
-        return self.base + 100 + index
+        return self.base + self.stride + index
 
     def peer_port(self, index):
-        return self.base + 200 + index
+        return self.base + 2 * self.stride + index
 
     def local_port(self, index):
-        return self.base + 300 + index
+        return self.base + 3 * self.stride + index
 
     def upstream_port(self, index):
-        return self.base + 400 + index
+        return self.base + 4 * self.stride + index
 
     def control_list(self):
         return ",".join(f"127.0.0.1:{self.control_port(r)}"
