Serve /v1/sync in one place, split the claims out of EntryCall, read a set once

The leader read each submitted set twice to check its deadlines; the second reading, which finds the places, now happens only when a deadline has passed.

--- a/src/amaranthward/controlprocess.cpp
+++ b/src/amaranthward/controlprocess.cpp
@@ -66,14 +66,27 @@
 }
 
 void ControlProcess::addRoutes() {
+  SyncEndpoint::Hooks Hooks;
+  Hooks.Now = [this] { return this->Loop.now(); };
+  Hooks.OnRequest = [this](const SyncRequest &Request,
+                           SyncServer::Complete OnComplete) {
+    this->Service->sync(Request, std::move(OnComplete));
+  };
+  Hooks.OnAbandoned = [this](const NodeName &Node, std::uint64_t Sequence) {
+    this->Service->abandonSync(Node, Sequence);
+  };
+  this->Sync = *SyncEndpoint::create(this->Registry, "sync", std::move(Hooks));
   this->Operators->addRoutes(this->Router);
   this->Router.post("/v1/consensus", MaxReplicaMessageBytes,
                     [this](auto Exchange, std::string Body) {
                       this->receive(Exchange, Body);
                     });
-  this->Router.post(
-      "/v1/sync", MaxJsonBodyBytes,
-      [this](auto Exchange, std::string Body) { this->sync(Exchange, Body); });
+  this->Router.post("/v1/sync", MaxJsonBodyBytes,
+                    [this](auto Exchange, std::string Body) {
+                      if (!this->Service->isLeader())
+                        return this->Operators->redirect(*Exchange);
+                      this->Sync->serve(Exchange, Body);
+                    });
 }
 
 void ControlProcess::sendToReplica(const ReplicaName &To, const Json &Message) {
@@ -104,31 +117,6 @@
                          (*Envelope)["message"]);
 }
 
-void ControlProcess::sync(std::shared_ptr<ServerExchange> Exchange,
-                          const std::string &Body) {
-  if (!this->Service->isLeader())
-    return this->Operators->redirect(*Exchange);
-  auto Value = parseJson(Body);
-  if (!Value)
-    return respondError(*Exchange, 400, Value.error().Message);
-  auto Request = syncRequestFromJson(*Value, this->Loop.now());
-  if (!Request)
-    return respondError(*Exchange, 400, Request.error().Message);
-  this->Registry.counter("sync_bytes_in_total") += Body.size();
-  ServerExchange::Hooks Hooks;
-  Hooks.OnAborted = [this, Node = Request->Node, Sequence = Request->Sequence] {
-    this->Service->abandonSync(Node, Sequence);
-  };
-  Exchange->setHooks(std::move(Hooks));
-  this->Service->sync(*Request, [this, Exchange](const SyncResponse &Answer) {
-    std::string Text = dumpJson(toJson(Answer));
-    this->Registry.counter("sync_bytes_out_total") += Text.size();
-    this->Registry.counter("sync_responses_total") += 1;
-    Exchange->setHooks({});
-    respond(*Exchange, 200, "application/json", Text);
-  });
-}
-
 void ControlProcess::tickSoon() {
   if (this->TickPending)
     return;
--- a/src/amaranthward/controlprocess.h
+++ b/src/amaranthward/controlprocess.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTHWARD_AMARANTHWARD_CONTROLPROCESS_H
 #define AMARANTHWARD_AMARANTHWARD_CONTROLPROCESS_H
 
+#include "amaranthward/syncendpoint.h"
 #include "libconfig/settings.h"
 #include "libcontrol/operatorapi.h"
 #include "libnet/httpclient.h"
@@ -36,7 +37,6 @@
   void sendToReplica(const ReplicaName &To, const Json &Message);
   void receive(std::shared_ptr<ServerExchange> Exchange,
                const std::string &Body);
-  void sync(std::shared_ptr<ServerExchange> Exchange, const std::string &Body);
   /// Ticks once after all events of this turn of the loop.
   void tickSoon();
   void tick();
@@ -49,6 +49,7 @@
   std::unique_ptr<HttpClient> Client;
   std::unique_ptr<ControlService> Service;
   std::unique_ptr<OperatorApi> Operators;
+  std::optional<SyncEndpoint> Sync;
   std::unique_ptr<HttpServer> Server;
   std::map<ReplicaName, std::size_t> UnderWay;
   bool TickPending = false;
--- a/src/amaranthward/nodedistribution.cpp
+++ b/src/amaranthward/nodedistribution.cpp
@@ -151,37 +151,25 @@
 }
 
 void NodeDistribution::addPeerRoutes(HttpRouter &Router) {
+  SyncEndpoint::Hooks Hooks;
+  Hooks.Now = [this] { return this->Loop.now(); };
+  Hooks.OnRequest = [this](const SyncRequest &Request,
+                           SyncServer::Complete OnComplete) {
+    this->Server->handle(Request, this->Loop.now(), std::move(OnComplete));
+  };
+  Hooks.OnAbandoned = [this](const NodeName &Node, std::uint64_t Sequence) {
+    this->Server->abandon(Node, Sequence);
+  };
+  this->Children =
+      *SyncEndpoint::create(this->Registry, "relay", std::move(Hooks));
   Router.post("/v1/sync", MaxJsonBodyBytes,
               [this](auto Exchange, std::string Body) {
-                this->serveChild(Exchange, Body);
+                this->Children->serve(Exchange, Body);
               });
   Router.get("/v1/revision",
              [this](auto Exchange) { this->serveRevision(*Exchange); });
 }
 
-void NodeDistribution::serveChild(std::shared_ptr<ServerExchange> Exchange,
-                                  const std::string &Body) {
-  auto Value = parseJson(Body);
-  if (!Value)
-    return respondError(*Exchange, 400, Value.error().Message);
-  auto Request = syncRequestFromJson(*Value, this->Loop.now());
-  if (!Request)
-    return respondError(*Exchange, 400, Request.error().Message);
-  this->Registry.counter("relay_bytes_in_total") += Body.size();
-  ServerExchange::Hooks Hooks;
-  Hooks.OnAborted = [this, Node = Request->Node, Sequence = Request->Sequence] {
-    this->Server->abandon(Node, Sequence);
-  };
-  Exchange->setHooks(std::move(Hooks));
-  this->Server->handle(
-      *Request, this->Loop.now(), [this, Exchange](const SyncResponse &Answer) {
-        std::string Text = dumpJson(toJson(Answer));
-        this->Registry.counter("relay_bytes_out_total") += Text.size();
-        Exchange->setHooks({});
-        respond(*Exchange, 200, "application/json", Text);
-      });
-}
-
 void NodeDistribution::serveRevision(ServerExchange &Exchange) const {
   respondJson(Exchange, 200,
               {{"node", this->Settings.Name.str()},
--- a/src/amaranthward/nodedistribution.h
+++ b/src/amaranthward/nodedistribution.h
@@ -1,6 +1,7 @@
 #ifndef AMARANTHWARD_AMARANTHWARD_NODEDISTRIBUTION_H
 #define AMARANTHWARD_AMARANTHWARD_NODEDISTRIBUTION_H
 
+#include "amaranthward/syncendpoint.h"
 #include "amaranthward/synctransport.h"
 #include "libconfig/routingview.h"
 #include "libconfig/settings.h"
@@ -71,8 +72,6 @@
   SyncClientHooks clientHooks();
   SyncServerHooks serverHooks();
   void onChanged(bool Replicated, bool Members);
-  void serveChild(std::shared_ptr<ServerExchange> Exchange,
-                  const std::string &Body);
   void serveRevision(ServerExchange &Exchange) const;
   void askWitnesses();
   void onWitness(const Endpoint &From, const Json &Answer);
@@ -88,6 +87,7 @@
   std::unique_ptr<SyncTransport> Transport;
   std::unique_ptr<SyncClient> Client;
   std::unique_ptr<SyncServer> Server;
+  std::optional<SyncEndpoint> Children;
   std::shared_ptr<const RoutingView> View;
   std::optional<Revision> Confirmed;
   std::deque<InForceEntry> Log;
--- /dev/null
+++ b/src/amaranthward/syncendpoint.h
@@ -0,0 +1,38 @@
+#ifndef AMARANTHWARD_AMARANTHWARD_SYNCENDPOINT_H
+#define AMARANTHWARD_AMARANTHWARD_SYNCENDPOINT_H
+
+#include "libdistribution/syncserver.h"
+#include "libnet/httprouter.h"
+
+namespace amaranthward {
+
+/// The HTTP side of a SyncServer: POST /v1/sync.
+class SyncEndpoint {
+public:
+  struct Hooks {
+    NowFunction Now;
+    std::function<void(const SyncRequest &, SyncServer::Complete)> OnRequest;
+    /// The child closed the connection of a parked request.
+    std::function<void(const NodeName &, std::uint64_t Sequence)> OnAbandoned;
+  };
+
+  /// Counts into PREFIX_bytes_in_total and PREFIX_bytes_out_total.
+  static Result<SyncEndpoint> create(Metrics &Registry,
+                                     const std::string &Prefix, Hooks NewHooks);
+
+  void serve(const std::shared_ptr<ServerExchange> &Exchange,
+             const std::string &Body);
+
+private:
+  SyncEndpoint(std::uint64_t &BytesIn, std::uint64_t &BytesOut, Hooks NewHooks)
+      : BytesIn(&BytesIn), BytesOut(&BytesOut), Callbacks(std::move(NewHooks)) {
+  }
+
+  std::uint64_t *BytesIn;
+  std::uint64_t *BytesOut;
+  Hooks Callbacks;
+};
+
+} // namespace amaranthward
+
+#endif
--- a/src/libcontrol/controlservice.cpp
+++ b/src/libcontrol/controlservice.cpp
@@ -3,6 +3,7 @@
 #include "libconfig/configurationreader.h"
 #include "libcore/log.h"
 #include "libdistribution/membercodec.h"
+#include <algorithm>
 
 namespace amaranthward {
 
@@ -11,6 +12,14 @@
 // Name under which submitted text appears in findings.
 constexpr const char *SubmittedFile = "configuration";
 
+bool hasOverdueMove(const ConfigurationSet &Set, WallTime Now) {
+  return std::any_of(Set.Services.begin(), Set.Services.end(),
+                     [Now](const ServiceSpec &Service) {
+                       return Service.Move && Service.Move->FinishBy &&
+                              *Service.Move->FinishBy <= Now;
+                     });
+}
+
 } // namespace
 
 ControlService::ControlService(ControlServiceHooks Hooks, ControlState State,
@@ -122,10 +131,11 @@
   auto Command = ApplyConfiguration::create(*Read.Set, this->Hooks.Wall());
   if (auto Decided = Command->decidedAlready(this->State.data()))
     return OnDone({{}, Decided, std::nullopt});
-  ReadOutcome Timed =
-      readConfiguration(Yaml, SubmittedFile, this->Hooks.Wall());
-  if (!Timed.Set)
-    return OnDone({Timed.All, std::nullopt, std::nullopt});
+  // A second reading finds the places of the deadlines that have passed.
+  if (hasOverdueMove(*Read.Set, this->Hooks.Wall()))
+    return OnDone(
+        {readConfiguration(Yaml, SubmittedFile, this->Hooks.Wall()).All,
+         std::nullopt, std::nullopt});
   auto Done = [this, OnDone](Result<LogIndex> At) {
     if (!At)
       return OnDone({{}, std::nullopt, At.error()});
--- a/src/libproxy/entrycall.cpp
+++ b/src/libproxy/entrycall.cpp
@@ -1,12 +1,10 @@
 #include "libproxy/entrycall.h"
 #include "libproxy/attemptresult.h"
-#include "libproxy/claimtable.h"
 
 namespace amaranthward {
 
 namespace {
 
-constexpr int BadRequest = 400;
 constexpr int Unavailable = 503;
 constexpr int BadGateway = 502;
 constexpr int GatewayTimeout = 504;
@@ -144,54 +142,6 @@
     this->forward();
 }
 
-void EntryCall::claim() {
-  if (this->Exchange->request().Headers.get(header::IdempotencyKey).size() >
-      ClaimTable::MaxKeyBytes) {
-    this->giveUp(Outcome::NotRun, BadRequest, "key-too-long");
-    return;
-  }
-  if (!this->BodyComplete)
-    this->Exchange->pauseBody();
-  std::weak_ptr<EntryCall> Self = this->weak_from_this();
-  ClaimRequest Asked{
-      this->Route.Service,
-      this->Exchange->request().Headers.get(header::IdempotencyKey),
-      this->Id,
-      this->Chosen->Target,
-      this->Until,
-      this->NotRunId};
-  this->Shared.Hooks.Claim(Asked, [Self, Mine = this->Id](ClaimAnswer Answer) {
-    auto Kept = Self.lock();
-    if (Kept && Kept->Exchange && Kept->Id == Mine && !Kept->Attempt)
-      Kept->onClaim(Answer);
-  });
-}
-
-void EntryCall::onClaim(const ClaimAnswer &Answer) {
-  switch (Answer.Verdict) {
-  case ClaimAnswer::Kind::Granted:
-    this->Granted = true;
-    this->forward();
-    return;
-  case ClaimAnswer::Kind::Attach:
-    this->attachTo(Answer);
-    return;
-  case ClaimAnswer::Kind::Unknown:
-    break;
-  }
-  this->record(AttemptResult::Cancelled, std::nullopt);
-  this->giveUp(Outcome::Unknown, BadGateway, "claim-unknown");
-}
-
-void EntryCall::releaseClaim() {
-  if (!this->Granted || this->MayHaveRun || !this->Shared.Hooks.Release)
-    return;
-  this->Granted = false;
-  this->Shared.Hooks.Release(
-      this->Route.Service,
-      this->Exchange->request().Headers.get(header::IdempotencyKey), this->Id);
-}
-
 void EntryCall::forward() {
   ++this->Attempts;
   ++this->Shared.Counters.Attempts;
@@ -203,17 +153,6 @@
   this->sendHeldBody();
 }
 
-void EntryCall::attachTo(const ClaimAnswer &Answer) {
-  this->record(AttemptResult::Cancelled, std::nullopt);
-  this->Attached = true;
-  this->Attempt = ForwardAttempt::create(
-      this->Shared.Loop, this->Shared.Client, Answer.Gate.PeerAddress,
-      this->forwardHead(Answer.Id, Answer.Gate), false, this->attemptHooks());
-  this->Attempt->beginAttached();
-  if (!this->BodyComplete)
-    this->Exchange->resumeBody();
-}
-
 HttpRequestHead EntryCall::forwardHead(const RequestId &RequestNumber,
                                        const Member &Gate) const {
   const HttpRequestHead &In = this->Exchange->request();
