--- a/src/libproxy/entrycall.cpp
+++ b/src/libproxy/entrycall.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr int Unavailable = 503;
-constexpr int BadGateway = 502;
 constexpr int GatewayTimeout = 504;
 constexpr int FirstServerError = 500;
 
