libcontrol: use MemberView for members and relay trees

ControlService kept its own relay trees beside MemberView, which has the same answer, and decoded all members for each decision, ten times a second, also without an open move. MemberView decodes only what changed. No behaviour changes; test_libcontrol and the demonstration pass.

--- a/src/libcontrol/controlqueries.cpp
+++ b/src/libcontrol/controlqueries.cpp
@@ -1,5 +1,4 @@
 #include "libcontrol/controlservice.h"
-#include "libdistribution/membercodec.h"
 
 namespace amaranthward {
 
--- a/src/libcontrol/controlservice.cpp
+++ b/src/libcontrol/controlservice.cpp
@@ -2,7 +2,6 @@
 
 #include "libconfig/configurationreader.h"
 #include "libcore/log.h"
-#include "libdistribution/membercodec.h"
 #include <algorithm>
 
 namespace amaranthward {
@@ -219,7 +218,8 @@
 }
 
 void ControlService::decideMoves() {
-  auto Payloads = this->Driver.decide(this->State.data(), this->members(),
+  this->View.refresh(this->Publisher.state().Members);
+  auto Payloads = this->Driver.decide(this->State.data(), this->View.members(),
                                       this->Hooks.Now(), this->Hooks.Wall());
   for (std::string &Payload : Payloads)
     this->propose(std::move(Payload));
@@ -251,23 +251,8 @@
 
 std::vector<ParentCandidate>
 ControlService::parentsFor(const SyncRequest &Request) {
-  const ResourceTable &Members = this->Publisher.state().Members;
-  if (this->TreesVersion != Members.current()) {
-    this->Trees.clear();
-    this->TreesVersion = Members.current();
-  }
-  auto Found = this->Trees.find(Request.Zone);
-  if (Found == this->Trees.end()) {
-    auto Made = RelayTree::create(Request.Zone, this->members());
-    if (!Made)
-      return {};
-    Found = this->Trees.emplace(Request.Zone, std::move(*Made)).first;
-  }
-  return Found->second.candidatesFor(Request.Node);
-}
-
-std::vector<Member> ControlService::members() const {
-  return membersIn(this->Publisher.state().Members.resources());
+  this->View.refresh(this->Publisher.state().Members);
+  return this->View.parentsFor(Request);
 }
 
 InForceCount ControlService::inForce() const {
--- a/src/libcontrol/controlservice.h
+++ b/src/libcontrol/controlservice.h
@@ -6,7 +6,7 @@
 #include "libcontrol/movedriver.h"
 #include "libcontrol/statepublisher.h"
 #include "libcore/finding.h"
-#include "libdistribution/relaytree.h"
+#include "libdistribution/memberview.h"
 #include "libdistribution/sessiontable.h"
 #include "libdistribution/syncserver.h"
 #include <memory>
@@ -82,7 +82,6 @@
   void propose(std::string Payload);
   void startConfirmation();
   std::vector<ParentCandidate> parentsFor(const SyncRequest &Request);
-  std::vector<Member> members() const;
   void changed();
   void workPending();
 
@@ -94,9 +93,8 @@
   std::unique_ptr<SessionTable> Sessions;
   std::unique_ptr<SyncServer> Server;
   std::unique_ptr<ConsensusReplica> Replica;
-  /// Relay trees by zone, for the member table version below.
-  std::map<ZoneName, RelayTree> Trees;
-  TableVersion TreesVersion;
+  /// Decoded members, refreshed before each use.
+  MemberView View;
   bool WasLeader = false;
   Instant NextDecision;
   bool Confirming = false;
--- a/src/libcontrol/movedriver.cpp
+++ b/src/libcontrol/movedriver.cpp
@@ -48,11 +48,11 @@
   return Totals;
 }
 
-std::map<VersionName, double> capacityOf(const ServiceName &Service,
-                                         const ControlData &Data,
-                                         const std::vector<Member> &Members) {
+std::map<VersionName, double>
+capacityOf(const ServiceName &Service, const ControlData &Data,
+           const std::map<NodeName, Member> &Members) {
   std::map<VersionName, double> Capacity;
-  for (const Member &One : Members) {
+  for (const auto &[Node, One] : Members) {
     if (One.Service != Service || One.Leaving)
       continue;
     const ZoneSpec *Zone =
@@ -92,9 +92,10 @@
   }
 }
 
-std::vector<std::string> MoveDriver::decide(const ControlData &Data,
-                                            const std::vector<Member> &Members,
-                                            Instant Now, WallTime Wall) {
+std::vector<std::string>
+MoveDriver::decide(const ControlData &Data,
+                   const std::map<NodeName, Member> &Members, Instant Now,
+                   WallTime Wall) {
   std::vector<std::string> Payloads;
   if (!this->LeadingSince)
     this->LeadingSince = Now;
@@ -187,7 +188,7 @@
 
 MoveInputs MoveDriver::inputsFor(const MoveState &Move, Tracker &Of,
                                  const ControlData &Data,
-                                 const std::vector<Member> &Members,
+                                 const std::map<NodeName, Member> &Members,
                                  Instant Now, WallTime Wall) {
   const auto &Sums = this->Store.sums(Move.Service);
   CallCounters All;
--- a/src/libcontrol/movedriver.h
+++ b/src/libcontrol/movedriver.h
@@ -24,7 +24,7 @@
   /// The payloads to propose now. A decision is not repeated until the state
   /// shows it or \a ProposalTimeout has passed.
   std::vector<std::string> decide(const ControlData &Data,
-                                  const std::vector<Member> &Members,
+                                  const std::map<NodeName, Member> &Members,
                                   Instant Now, WallTime Wall);
 
   /// Forgets all evidence, for use when leadership is lost.
@@ -65,7 +65,7 @@
   void sampleRates(Tracker &Of, const CallCounters &All, Instant Now) const;
   MoveInputs inputsFor(const MoveState &Move, Tracker &Of,
                        const ControlData &Data,
-                       const std::vector<Member> &Members, Instant Now,
+                       const std::map<NodeName, Member> &Members, Instant Now,
                        WallTime Wall);
 
   MovePacer Pacer;
--- a/tests/libcontrol/test_moves.cpp
+++ b/tests/libcontrol/test_moves.cpp
@@ -25,7 +25,7 @@
         One.Service = ServiceName("catalogue");
         One.Version = VersionName(Version);
         One.Slots = 9;
-        this->Members.push_back(One);
+        this->Members.emplace(One.Node, One);
       }
     }
   }
@@ -111,7 +111,7 @@
 
   ControlState State;
   MoveDriver Driver;
-  std::vector<Member> Members;
+  std::map<NodeName, Member> Members;
   Instant Now = Instant(std::chrono::seconds(1000));
   LogIndex Index;
   RandomFunction Random = seededRandom(7);
