Ignore the deregistration of an earlier start of the upstream

Cause: the last report of an upstream carries its time of start, but the node compared only the name. An upstream that starts again under the same name was ended by the late report of its predecessor and got no calls until it started once more. Tests: test_libproxy test_announcements, test_libplatform.

--- a/src/amaranthward/nodeprocess.cpp
+++ b/src/amaranthward/nodeprocess.cpp
@@ -195,8 +195,8 @@
     this->Gate->announce(Said);
     return {};
   };
-  Hooks.OnDeregistered = [this](const InstanceId &Instance) {
-    this->Gate->deregister(Instance);
+  Hooks.OnDeregistered = [this](const UpstreamEnd &Said) {
+    this->Gate->deregister(Said);
   };
   this->Platform = PlatformNode::create(std::move(Hooks));
   this->Platform->addRoutes(this->LocalRouter);
--- a/src/libproxy/announcement.h
+++ b/src/libproxy/announcement.h
@@ -32,6 +32,13 @@
   bool sameStart(const UpstreamAnnouncement &Other) const;
 };
 
+/// The last word of one start of an upstream.
+struct UpstreamEnd {
+  InstanceId Instance;
+  /// See UpstreamAnnouncement::StartedAt; 0 when not stated.
+  std::uint64_t StartedAt = 0;
+};
+
 } // namespace amaranthward
 
 #endif
--- a/src/libproxy/gaterole.cpp
+++ b/src/libproxy/gaterole.cpp
@@ -304,10 +304,12 @@
          Said.Sequence <= this->Newest->Sequence;
 }
 
-void GateRole::deregister(const InstanceId &Instance) {
-  if (!this->Newest || this->Newest->Instance != Instance)
+void GateRole::deregister(const UpstreamEnd &Said) {
+  if (!this->Newest || this->Newest->Instance != Said.Instance)
     return;
-  this->Ended = Instance;
+  if (Said.StartedAt != 0 && Said.StartedAt < this->Newest->StartedAt)
+    return;
+  this->Ended = Said.Instance;
   if (!this->Current || this->Current->Leaving)
     return;
   this->Current->Leaving = true;
--- a/src/libproxy/gaterole.h
+++ b/src/libproxy/gaterole.h
@@ -40,8 +40,9 @@
   /// A late announcement, one that an earlier one has overtaken, is ignored.
   void announce(const UpstreamAnnouncement &Upstream);
   /// The upstream says that it ends; later announcements of the same start
-  /// are ignored.
-  void deregister(const InstanceId &Instance);
+  /// are ignored. The end of an earlier start under the same name changes
+  /// nothing.
+  void deregister(const UpstreamEnd &Said);
   /// POST /v1/announce.
   void handleAnnounce(std::shared_ptr<ServerExchange> Exchange);
 
--- a/tests/libplatform/test_upstreamreport.cpp
+++ b/tests/libplatform/test_upstreamreport.cpp
@@ -48,6 +48,18 @@
   CHECK_FALSE(decodeHeartbeat(InstanceId("i-1"), "[]").has_value());
 }
 
+TEST_CASE("A deregistration names the start that ends") {
+  // Guards against a late one that ends the next start under the same name.
+  InstanceId Name("i-1");
+  auto Said = decodeDeregistration(Name, R"({"born":1700000000123})");
+  REQUIRE(Said.has_value());
+  CHECK(Said->Instance == Name);
+  CHECK(Said->StartedAt == 1700000000123);
+  CHECK(decodeDeregistration(Name, "").value().StartedAt == 0);
+  CHECK_FALSE(decodeDeregistration(Name, R"({"born":"now"})").has_value());
+  CHECK_FALSE(decodeDeregistration(Name, "\xff").has_value());
+}
+
 TEST_CASE("Times are read with their unit") {
   CHECK(parseWireTime("1500ms") == Duration(1500ms));
   CHECK(parseWireTime("2.5s") == Duration(2500ms));
