Use every slot where no route is urgent; answer 503 where nothing ran

Full load left 11% of each upstream idle. - A call that never reached an upstream ended with 504 at its deadline. 504 promises nothing, so the caller of an order could not send it again.

--- a/src/libconfig/routingview.cpp
+++ b/src/libconfig/routingview.cpp
@@ -3,6 +3,7 @@
 #include "libconfig/jsonfields.h"
 #include "libconfig/routetable.h"
 #include "libconfig/speccodec.h"
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -219,6 +220,13 @@
   return Found == this->Shared->Services.end() ? nullptr : &Found->second;
 }
 
+bool RoutingView::hasUrgentRoute(const ServiceName &Name) const {
+  const auto &Routes = this->Shared->Routes;
+  return std::any_of(Routes.begin(), Routes.end(), [&Name](const auto &Each) {
+    return Each.second.Class == CallClass::Urgent && Each.second.serves(Name);
+  });
+}
+
 const std::map<VersionName, Share> &
 RoutingView::split(const ServiceName &Name) const {
   static const std::map<VersionName, Share> None;
--- a/src/libconfig/routingview.h
+++ b/src/libconfig/routingview.h
@@ -36,6 +36,8 @@
   const RouteSpec *route(const RouteName &Name) const;
   /// Split and Move of the result are empty.
   const ServiceSpec *service(const ServiceName &Name) const;
+  /// Whether a route whose calls go to \a Name has class urgent.
+  bool hasUrgentRoute(const ServiceName &Name) const;
   /// Shares now in force; empty for an unknown service.
   const std::map<VersionName, Share> &split(const ServiceName &Name) const;
   /// False for a zone that an order took out, and for one that the set does
--- a/src/libpolicy/admissioncontrol.cpp
+++ b/src/libpolicy/admissioncontrol.cpp
@@ -71,6 +71,10 @@
   this->Body->declareCold(For, CallsPerSecond, Now);
 }
 
+void AdmissionControl::reserveForUrgent(bool Wanted) {
+  this->Body->reserveForUrgent(Wanted);
+}
+
 void AdmissionControl::leave(Instant Now) { this->Body->leave(Now); }
 
 void AdmissionControl::restore(Instant Now) { this->Body->restore(Now); }
--- a/src/libpolicy/admissioncontrol.h
+++ b/src/libpolicy/admissioncontrol.h
@@ -149,6 +149,10 @@
   /// is taken, and neither the ramp nor measured latency limits it.
   void declareCold(Duration For, double CallsPerSecond, Instant Now);
 
+  /// Whether a part of the slots stays free for urgent calls; it does unless
+  /// no route to the upstream is urgent.
+  void reserveForUrgent(bool Wanted);
+
   /// No new calls from now on. Waiting calls may still start for
   /// \a LeavingGrace and are then refused; running calls finish.
   void leave(Instant Now);
--- a/src/libpolicy/admissiongate.cpp
+++ b/src/libpolicy/admissiongate.cpp
@@ -74,7 +74,8 @@
     return false;
   if (Class == CallClass::Urgent)
     return true;
-  if (this->runningNonUrgent() >= Limit - urgentReserve(Limit))
+  std::uint32_t Reserve = this->HasUrgent ? urgentReserve(Limit) : 0;
+  if (this->runningNonUrgent() >= Limit - Reserve)
     return false;
   return Class != CallClass::Bulk ||
          this->RunningByClass[static_cast<std::size_t>(CallClass::Bulk)] <
--- a/src/libpolicy/admissiongate.h
+++ b/src/libpolicy/admissiongate.h
@@ -28,6 +28,7 @@
   std::optional<Instant> nextWake() const;
   void hintLoad(double Load, Instant Now);
   void declareCold(Duration For, double CallsPerSecond, Instant Now);
+  void reserveForUrgent(bool Wanted) { this->HasUrgent = Wanted; }
   void leave(Instant Now);
   void restore(Instant Now);
   void resetUpstream(Instant Now);
@@ -82,6 +83,7 @@
   std::unordered_map<RouteName, std::uint32_t> RouteNumbers;
   std::uint64_t NextTicket = 1;
   std::uint64_t ColdAgain = 0;
+  bool HasUrgent = true;
   std::optional<Instant> LeavingSince;
   /// None before the first call: the warm-up time counts from there.
   std::optional<Instant> ColdSince;
--- a/src/libproxy/entrycall.cpp
+++ b/src/libproxy/entrycall.cpp
@@ -371,9 +371,12 @@
     Known = Outcome::Unknown;
   if (Known == Outcome::NotRun)
     this->releaseClaim();
-  // The status of an unknown outcome must promise nothing.
+  // The status of an unknown outcome must promise nothing, and a caller whose
+  // request has not run is told so, because it may then send it again.
   if (Known != Outcome::NotRun && promisesNotRun(Status))
     Status = BadGateway;
+  if (Known == Outcome::NotRun && Status == GatewayTimeout)
+    Status = Unavailable;
   ++(Known == Outcome::NotRun ? this->Shared.Counters.NotRun
                               : this->Shared.Counters.Unknown);
   if (this->HeadSent)
--- a/src/libproxy/gaterole.cpp
+++ b/src/libproxy/gaterole.cpp
@@ -51,7 +51,7 @@
     this->scheduleWake();
   }
   this->ZoneOut = Out;
-  this->declareCold();
+  this->informAdmission();
   if (!this->Current || !this->UnderWay.empty())
     return;
   // The limits of the set apply to an upstream that announced itself earlier;
@@ -63,7 +63,7 @@
   if (Changed &&
       this->Admission->status(this->Loop.now()).Phase == WarmthPhase::Cold) {
     this->createAdmission();
-    this->declareCold();
+    this->informAdmission();
     if (Out || this->Current->Leaving)
       this->Admission->leave(this->Loop.now());
   }
@@ -280,7 +280,7 @@
   this->Current = this->Newest = Upstream;
   if (Replaced)
     this->createAdmission();
-  this->declareCold();
+  this->informAdmission();
   if (Same)
     return this->scheduleWake();
   if (Upstream.Leaving || this->ZoneOut)
@@ -333,11 +333,12 @@
   return Settings;
 }
 
-void GateRole::declareCold() {
-  const ServiceSpec *Service =
-      this->Current && this->State.View
-          ? this->State.View->service(this->Current->Service)
-          : nullptr;
+void GateRole::informAdmission() {
+  if (!this->Current || !this->State.View)
+    return;
+  const ServiceName &Name = this->Current->Service;
+  this->Admission->reserveForUrgent(this->State.View->hasUrgentRoute(Name));
+  const ServiceSpec *Service = this->State.View->service(Name);
   if (!Service || !this->Current->ColdFor)
     return;
   Instant Now = this->Loop.now();
--- a/src/libproxy/gaterole.h
+++ b/src/libproxy/gaterole.h
@@ -77,8 +77,9 @@
   void scheduleWake();
   AdmissionSettings admissionSettings() const;
   void createAdmission();
-  /// Tells the admission control what the upstream says of its warmth.
-  void declareCold();
+  /// Tells the admission control which routes lead to the upstream and what
+  /// the upstream says of its warmth.
+  void informAdmission();
   void withdraw();
   void tick();
   std::string load() const;
--- a/tests/libpolicy/test_admissionorder.cpp
+++ b/tests/libpolicy/test_admissionorder.cpp
@@ -58,6 +58,24 @@
   CHECK(One.request(0, 50ms, 350ms).Verdict == AdmissionVerdict::Queue);
 }
 
+TEST_CASE("Without urgent routes every slot takes work") {
+  // Guards against a slot that stays idle under full load: with 9 slots, one
+  // in nine of what the upstream could do.
+  AdmissionSettings Settings;
+  Settings.Slots = 9;
+  auto Control = AdmissionControl::create(Settings).value();
+  Instant Now{100s};
+  Control.declareCold(0s, 21, Now);
+  Control.reserveForUrgent(false);
+  AdmissionActions Actions;
+  AdmissionRequest Call;
+  Call.Deadline = Now + 5s;
+  for (int I = 0; I < 9; ++I)
+    CHECK(Control.request(Call, Now, Actions).Verdict ==
+          AdmissionVerdict::Admit);
+  CHECK(Control.request(Call, Now, Actions).Verdict == AdmissionVerdict::Queue);
+}
+
 TEST_CASE("A lower rank goes first") {
   // Guards against urgent calls that fail while others are served.
   Gate One;
--- a/tests/libproxy/test_outcomes.cpp
+++ b/tests/libproxy/test_outcomes.cpp
@@ -153,6 +153,8 @@
   HttpHeaders Headers;
   Headers.add(header::DeadlineMs, "200");
   auto Second = Mesh.callAndWait("POST", "/order", "two", Headers);
+  // A status that promises "not run": the caller may send the order again.
+  CHECK(Second->Status == 503);
   CHECK(Second->Outcome == "not-run");
   CHECK(Held.size() == 1);
 }
