Serve the routes of one rank in like parts at a full gate

Change: the gate counts which part of each route's recent calls it started; a route that is more than 0.1 behind another goes first.

--- a/src/libpolicy/admissiongate.cpp
+++ b/src/libpolicy/admissiongate.cpp
@@ -101,6 +101,7 @@
                                   Call.Cancellable,
                                   Call.Rank,
                                   Call.Objective};
+  this->Shares.asked(Waiting.Route, Now);
   if (Call.Deadline <= Now + this->needed(Waiting, Now)) {
     Decision.Reason = RefusalReason::DeadlineTooShort;
     return Decision;
@@ -119,6 +120,24 @@
                              : this->Times.least(Call.Route, Now);
 }
 
+Duration
+AdmissionControl::Impl::waitFor(const AdmissionQueue::Waiting &Call,
+                                Instant Now) const {
+  Duration Turn = this->Times.mean() / this->limit(Now);
+  std::uint32_t Ahead = this->Queue.ahead(Call);
+  // A route that is behind gets every second turn at least.
+  const auto &Waiting = this->Queue.calls();
+  bool Behind = std::any_of(
+      Waiting.begin(), Waiting.end(),
+      [&](const AdmissionQueue::Waiting &Each) {
+        return Each.sameGroup(Call) && Each < Call &&
+               this->Shares.isBehind(Call.Route, Each.Route);
+      });
+  if (Behind)
+    Ahead = std::min(Ahead, 2 * this->Queue.aheadOnRoute(Call));
+  return Turn * (Ahead + 1);
+}
+
 AdmissionDecision AdmissionControl::Impl::enqueue(AdmissionQueue::Waiting Call,
                                                   Instant Now,
                                                   AdmissionActions &Actions) {
@@ -136,7 +155,7 @@
     Decision.RetryAfter = Turn * (this->Queue.size() + 1);
     return Decision;
   }
-  Duration Wait = Turn * (this->Queue.ahead(Call) + 1);
+  Duration Wait = this->waitFor(Call, Now);
   if (Call.Deadline <= Now + Wait + this->needed(Call, Now)) {
     Decision.Reason = RefusalReason::DeadlineTooShort;
     Decision.RetryAfter = Wait;
@@ -165,6 +184,7 @@
                          this->Ramp.step(), Now, Expected, Call.Cancellable,
                          false});
   ++this->RunningByClass[static_cast<std::size_t>(Call.Class)];
+  this->Shares.started(Call.Route, Now);
   this->Cold.started(Now);
 }
 
@@ -175,7 +195,7 @@
   };
   // Classes are in order of their caps, so when the first call may not start,
   // none may.
-  while (auto Next = this->Queue.next(Now, Needed)) {
+  while (auto Next = this->Queue.next(Now, Needed, this->Shares)) {
     AdmissionQueue::Waiting First = *Next;
     if (!this->canStart(First.Class, Now))
       return;
@@ -219,6 +239,11 @@
   return this->advance(Now);
 }
 
+void AdmissionControl::Impl::cancelQueued(AdmissionTicket Ticket) {
+  if (auto Removed = this->Queue.remove(Ticket))
+    this->Shares.withdrawn(Removed->Route);
+}
+
 AdmissionActions AdmissionControl::Impl::advance(Instant Now) {
   AdmissionActions Actions;
   this->watch(Now, Actions);
--- a/src/libpolicy/admissiongate.h
+++ b/src/libpolicy/admissiongate.h
@@ -23,7 +23,7 @@
                             AdmissionActions &Actions);
   AdmissionActions complete(AdmissionTicket Ticket, UpstreamResult Result,
                             std::optional<Duration> UpstreamTime, Instant Now);
-  void cancelQueued(AdmissionTicket Ticket) { this->Queue.remove(Ticket); }
+  void cancelQueued(AdmissionTicket Ticket);
   AdmissionActions advance(Instant Now);
   std::optional<Instant> nextWake() const;
   void hintLoad(double Load, Instant Now);
@@ -56,6 +56,8 @@
   /// Time that the call needs at the upstream, so that starting it later than
   /// that before its deadline would be in vain.
   Duration needed(const AdmissionQueue::Waiting &Call, Instant Now) const;
+  /// Estimated time until a call that is added now would start.
+  Duration waitFor(const AdmissionQueue::Waiting &Call, Instant Now) const;
   AdmissionDecision enqueue(AdmissionQueue::Waiting Call, Instant Now,
                             AdmissionActions &Actions);
   void startWaiting(Instant Now, AdmissionActions &Actions);
@@ -77,6 +79,7 @@
   AdaptiveLimit Adaptive;
   ServiceTimes Times;
   AdmissionQueue Queue;
+  RouteShares Shares;
   ColdRate Cold;
   std::vector<Running> Calls;
   std::array<std::uint32_t, 3> RunningByClass{};
--- a/src/libpolicy/admissionqueue.cpp
+++ b/src/libpolicy/admissionqueue.cpp
@@ -36,12 +36,16 @@
     --this->Counts[static_cast<std::size_t>(One.Class)];
 }
 
-void AdmissionQueue::remove(AdmissionTicket Ticket) {
+std::optional<AdmissionQueue::Waiting>
+AdmissionQueue::remove(AdmissionTicket Ticket) {
   auto Found =
       std::find_if(this->Calls.begin(), this->Calls.end(),
                    [&](const Waiting &One) { return One.Ticket == Ticket; });
-  if (Found != this->Calls.end())
-    this->take(Waiting(*Found));
+  if (Found == this->Calls.end())
+    return std::nullopt;
+  Waiting Removed = *Found;
+  this->take(Removed);
+  return Removed;
 }
 
 std::optional<AdmissionQueue::Waiting>
@@ -57,17 +61,35 @@
 }
 
 std::optional<AdmissionQueue::Waiting>
-AdmissionQueue::next(Instant Now, const NeededTime &Needed) const {
+AdmissionQueue::next(Instant Now, const NeededTime &Needed,
+                     const RouteShares &Shares) const {
   if (this->Calls.empty())
     return std::nullopt;
   const Waiting &First = *this->Calls.begin();
+  auto InTime = [&](const Waiting &One) {
+    return !One.hasObjective() || Now + Needed(One) <= One.Objective;
+  };
+  // The best call of each route, in order of the time by which it is due.
+  std::vector<const Waiting *> Best;
   for (const Waiting &One : this->Calls) {
     if (!One.sameGroup(First))
       break;
-    if (!One.hasObjective() || Now + Needed(One) <= One.Objective)
-      return One;
+    auto Known = std::find_if(
+        Best.begin(), Best.end(),
+        [&](const Waiting *Each) { return Each->Route == One.Route; });
+    if (Known == Best.end())
+      Best.push_back(&One);
+    else if (!InTime(**Known) && InTime(One))
+      *Known = &One;
   }
-  return First;
+  const Waiting *Chosen = Best.front();
+  for (const Waiting *Each : Best) {
+    bool Better = InTime(*Each) && !InTime(*Chosen);
+    if (Shares.isBehind(Each->Route, Chosen->Route) ||
+        (Better && !Shares.isBehind(Chosen->Route, Each->Route)))
+      Chosen = Each;
+  }
+  return *Chosen;
 }
 
 std::optional<AdmissionQueue::Waiting> AdmissionQueue::takeLast() {
@@ -93,4 +115,10 @@
   return static_cast<std::uint32_t>(std::distance(this->Calls.begin(), Place));
 }
 
+std::uint32_t AdmissionQueue::aheadOnRoute(const Waiting &One) const {
+  return static_cast<std::uint32_t>(std::count_if(
+      this->Calls.begin(), this->Calls.lower_bound(One),
+      [&One](const Waiting &Each) { return Each.Route == One.Route; }));
+}
+
 } // namespace amaranthward
--- a/src/libpolicy/admissionqueue.h
+++ b/src/libpolicy/admissionqueue.h
@@ -2,6 +2,7 @@
 #define AMARANTHWARD_LIBPOLICY_ADMISSIONQUEUE_H
 
 #include "libpolicy/admissioncontrol.h"
+#include "libpolicy/routeshares.h"
 #include <algorithm>
 #include <cstdint>
 #include <functional>
@@ -44,7 +45,8 @@
   /// Adds a call. When the queue is over its capacity, the last call of the
   /// lowest class is removed and returned.
   std::optional<Waiting> add(const Waiting &One);
-  void remove(AdmissionTicket Ticket);
+  /// The removed call; none when it does not wait.
+  std::optional<Waiting> remove(AdmissionTicket Ticket);
   /// Removes and returns one call whose deadline is at or before \a Until.
   std::optional<Waiting> takeExpired(Instant Until);
   /// Removes and returns the last call of the lowest class.
@@ -52,12 +54,16 @@
   std::optional<Instant> earliestDeadline() const;
 
   /// The call to start next, or none. In the first class and rank that has
-  /// calls, one that can still meet its objective goes before those that
+  /// calls, a route that got clearly less than another goes first. Within a
+  /// route, a call that can still meet its objective goes before those that
   /// cannot: otherwise a backlog makes every call late.
-  std::optional<Waiting> next(Instant Now, const NeededTime &Needed) const;
+  std::optional<Waiting> next(Instant Now, const NeededTime &Needed,
+                              const RouteShares &Shares) const;
 
   /// Calls that would start before \a One.
   std::uint32_t ahead(const Waiting &One) const;
+  /// The same, counting only calls of its route.
+  std::uint32_t aheadOnRoute(const Waiting &One) const;
   std::uint32_t count(CallClass Class) const {
     return this->Counts[static_cast<std::size_t>(Class)];
   }
--- a/src/libproxy/gaterole.cpp
+++ b/src/libproxy/gaterole.cpp
@@ -235,8 +235,10 @@
   if (Ended.started())
     this->apply(
         this->Admission->complete(Ended.Ticket, Result, UpstreamTime, Now));
-  else
+  else if (Result == UpstreamResult::Cancelled)
     this->Admission->cancelQueued(Ended.Ticket);
+  else
+    this->apply(this->Admission->advance(Now));
   this->scheduleWake();
 }
 
--- a/tests/libpolicy/test_admissionorder.cpp
+++ b/tests/libpolicy/test_admissionorder.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <map>
+#include <optional>
 
 using namespace amaranthward;
 using namespace std::chrono_literals;
@@ -21,9 +23,9 @@
     this->runOne();
   }
   AdmissionDecision request(std::uint32_t Rank, Duration Objective,
-                            Duration Deadline) {
+                            Duration Deadline, const char *Route = "r") {
     AdmissionRequest Call;
-    Call.Route = RouteName("r");
+    Call.Route = RouteName(Route);
     Call.Rank = Rank;
     Call.Objective = this->Now + Objective;
     Call.Deadline = this->Now + Deadline;
@@ -102,3 +104,49 @@
   CHECK(One.finish(Fresh.Ticket).Start ==
         std::vector<AdmissionTicket>{Late.Ticket});
 }
+
+TEST_CASE("An overloaded gate serves the routes of a rank in like parts") {
+  // Guards against uploads that starve behind short calls of the same rank,
+  // which are always due sooner. The load is 1.6 times the capacity: one
+  // upload of 100 ms and one call of 100 ms in every 125 ms at one slot.
+  Gate One;
+  struct Part {
+    int Asked = 0;
+    int Started = 0;
+    double value() const { return double(this->Started) / this->Asked; }
+  };
+  Part Short;
+  Part Upload;
+  std::map<AdmissionTicket, Part *> Waiting;
+  std::optional<AdmissionTicket> Running;
+  auto Start = [&](AdmissionTicket Ticket, Part &Of) {
+    ++Of.Started;
+    Running = Ticket;
+  };
+  auto Ask = [&](Part &Of, Duration Objective, Duration Deadline,
+                 const char *Route) {
+    ++Of.Asked;
+    auto Decision = One.request(1, Objective, Deadline, Route);
+    if (Decision.Verdict == AdmissionVerdict::Admit)
+      Start(Decision.Ticket, Of);
+    else if (Decision.Verdict == AdmissionVerdict::Queue)
+      Waiting[Decision.Ticket] = &Of;
+  };
+  for (int Step = 0; Step < 4000; ++Step) {
+    One.Now += 25ms;
+    if (Step % 5 == 0)
+      Ask(Short, 120ms, 400ms, "short");
+    if (Step % 5 == 2)
+      Ask(Upload, 500ms, 1200ms, "upload");
+    if (Step % 4 != 3)
+      continue;
+    AdmissionActions Done = Running ? One.finish(*Running)
+                                    : One.Control->advance(One.Now);
+    Running.reset();
+    for (AdmissionTicket Each : Done.Start)
+      Start(Each, *Waiting.at(Each));
+  }
+  CHECK(Short.Asked == 800);
+  CHECK(Upload.Started + Short.Started > 900);
+  CHECK(Upload.value() == doctest::Approx(Short.value()).epsilon(0.15));
+}
