Refuse a call at once when every gate has refused it

Change: a refusal for lack of room is not followed by another try when no upstream is left that the call has not asked.

--- a/src/libpolicy/retrydecision.cpp
+++ b/src/libpolicy/retrydecision.cpp
@@ -38,6 +38,8 @@
     return "too-many-attempts";
   case StopReason::BudgetSpent:
     return "budget-spent";
+  case StopReason::NoneLeft:
+    return "none-left";
   }
   return "";
 }
@@ -54,6 +56,8 @@
     return stop(StopReason::NoTimeLeft);
   if (!Failed && Question.Leaving)
     return {RetryAction::RetryElsewhere, StopReason::None};
+  if (!Failed && Question.RefusedByGate && !Question.OthersLeft)
+    return stop(StopReason::NoneLeft);
   if (!Failed && Question.RefusedByGate)
     return Question.GateRefusals < MaxGateRefusals
                ? RetryDecision{RetryAction::RetryElsewhere, StopReason::None}
--- a/src/libpolicy/retrydecision.h
+++ b/src/libpolicy/retrydecision.h
@@ -48,6 +48,8 @@
   bool RefusedByGate = false;
   /// Refusals of gates that this call has had, with the present one.
   std::uint32_t GateRefusals = 0;
+  /// An upstream that this call has not tried yet is in service.
+  bool OthersLeft = true;
   Duration TimeLeft = Duration::zero();
   bool BudgetLeft = false;
 };
@@ -74,6 +76,8 @@
   NoTimeLeft,
   TooManyAttempts,
   BudgetSpent,
+  /// All upstreams have refused the call.
+  NoneLeft,
 };
 
 const char *nameOf(RetryAction Value);
--- a/src/libpolicy/upstreamchoice.cpp
+++ b/src/libpolicy/upstreamchoice.cpp
@@ -37,6 +37,7 @@
                      const std::set<ZoneName> &OutOfService, Instant Now);
   std::optional<UpstreamHandle>
   choose(Instant Now, std::span<const UpstreamHandle> Avoid, Nearness Near);
+  bool hasOther(std::span<const UpstreamHandle> Tried) const;
   void finish(UpstreamHandle Handle, AttemptResult Result, Duration Latency,
               Instant Now);
   ChoiceEntry *find(UpstreamHandle Handle);
@@ -172,6 +173,16 @@
   return this->handleOf(*Best);
 }
 
+bool UpstreamChoice::Impl::hasOther(
+    std::span<const UpstreamHandle> Tried) const {
+  return std::any_of(
+      this->Available.begin(), this->Available.end(), [&](const auto &Tier) {
+        return std::any_of(Tier.begin(), Tier.end(), [&](std::uint32_t Index) {
+          return !contains(Tried, this->handleOf(this->Entries[Index]));
+        });
+      });
+}
+
 bool UpstreamChoice::Impl::mayTake(std::uint32_t Index,
                                    std::span<const UpstreamHandle> Avoid) {
   return Avoid.empty() ||
@@ -325,6 +336,10 @@
   return this->Body->choose(Now, Avoid, Near);
 }
 
+bool UpstreamChoice::hasOther(std::span<const UpstreamHandle> Tried) const {
+  return this->Body->hasOther(Tried);
+}
+
 void UpstreamChoice::finish(UpstreamHandle Handle, AttemptResult Result,
                             Duration Latency, Instant Now) {
   this->Body->finish(Handle, Result, Latency, Now);
--- a/src/libpolicy/upstreamchoice.h
+++ b/src/libpolicy/upstreamchoice.h
@@ -90,6 +90,9 @@
   choose(Instant Now, std::span<const UpstreamHandle> Avoid = {},
          Nearness Near = Nearness::Normal);
 
+  /// Whether a candidate in service is not in \a Tried.
+  bool hasOther(std::span<const UpstreamHandle> Tried) const;
+
   /// Ends an attempt. Handles of removed candidates are ignored.
   void finish(UpstreamHandle Handle, AttemptResult Result, Duration Latency,
               Instant Now);
--- a/src/libproxy/attemptresult.cpp
+++ b/src/libproxy/attemptresult.cpp
@@ -11,6 +11,12 @@
   return std::find(All.begin(), All.end(), Reason) != All.end();
 }
 
+bool isFull(const std::string &Reason) {
+  static constexpr std::array<std::string_view, 4> All = {
+      "deadline-too-short", "queue-full", "displaced", "cold"};
+  return std::find(All.begin(), All.end(), Reason) != All.end();
+}
+
 AttemptResult resultOf(const AttemptFailure &Failure) {
   if (Failure.Refused)
     return AttemptResult::ConnectRefused;
--- a/src/libproxy/attemptresult.h
+++ b/src/libproxy/attemptresult.h
@@ -9,6 +9,9 @@
 /// True for the reason of a gate that will not take work for a while.
 bool isLeaving(const std::string &Reason);
 
+/// True for the reason of a gate that has no room for the call now.
+bool isFull(const std::string &Reason);
+
 /// What the failure says about the upstream, for the upstream choice.
 AttemptResult resultOf(const AttemptFailure &Failure);
 
--- a/src/libproxy/entrycall.cpp
+++ b/src/libproxy/entrycall.cpp
@@ -335,6 +335,11 @@
     Question.MostAttempts = this->Route.Attempts;
   Question.RefusedByGate = refusedByGate(Failure);
   Question.GateRefusals = this->GateRefusals;
+  // A full gate stays full for the moment, so asking it again is in vain.
+  Question.OthersLeft =
+      !isFull(Failure.Reason) ||
+      this->Shared.Directory.hasOther(this->Route.Service,
+                                      this->Chosen->Version, this->Avoid);
   Question.TimeLeft = this->Until.left(Now);
   Question.BudgetLeft = Budget && Budget->available();
   RetryDecision Decision = retryDecision(Question);
--- a/src/libproxy/upstreamdirectory.cpp
+++ b/src/libproxy/upstreamdirectory.cpp
@@ -59,6 +59,13 @@
   return Chosen{Version, *Handle, *Target};
 }
 
+bool UpstreamDirectory::hasOther(
+    const ServiceName &Service, const VersionName &Version,
+    const std::vector<UpstreamHandle> &Tried) const {
+  auto Found = this->Choices.find({Service, Version});
+  return Found != this->Choices.end() && Found->second.hasOther(Tried);
+}
+
 void UpstreamDirectory::finish(const ServiceName &Service, const Chosen &Ended,
                                AttemptResult Result, Duration Latency,
                                Instant Now) {
--- a/src/libproxy/upstreamdirectory.h
+++ b/src/libproxy/upstreamdirectory.h
@@ -26,6 +26,9 @@
                                const VersionName &Version, Instant Now,
                                const std::vector<UpstreamHandle> &Avoid,
                                Nearness Near = Nearness::Normal);
+  /// Whether an upstream of that version in service is not in \a Tried.
+  bool hasOther(const ServiceName &Service, const VersionName &Version,
+                const std::vector<UpstreamHandle> &Tried) const;
   void finish(const ServiceName &Service, const Chosen &Ended,
               AttemptResult Result, Duration Latency, Instant Now);
   /// \param Load value of the load header, "IN-FLIGHT/LIMIT".
--- a/tests/libproxy/test_retries.cpp
+++ b/tests/libproxy/test_retries.cpp
@@ -52,6 +52,26 @@
   CHECK(Near.Requests == 0);
 }
 
+TEST_CASE("a call that every gate refuses is refused at once") {
+  // Guards against asking full gates again: each round moves bytes between
+  // zones, and the caller learns later that it should come back.
+  MeshFixture Mesh;
+  std::vector<std::shared_ptr<ServerExchange>> Held;
+  auto Holding = [&](auto Exchange) { Held.push_back(Exchange); };
+  Mesh.addGate("v1", Holding, "a", 1);
+  Mesh.addGate("v1", Holding, "b", 1);
+  Mesh.Configuration.Set.Services[0].Limits.Queue = 0;
+  Mesh.start();
+  auto First = Mesh.call("GET", "/browse");
+  auto Second = Mesh.call("GET", "/browse");
+  REQUIRE(Mesh.runUntil([&] { return Held.size() == 2; }));
+  auto Before = Mesh.Entry->counters().Attempts;
+  auto Third = Mesh.callAndWait("GET", "/browse");
+  CHECK(Third->Status == 503);
+  CHECK(Third->Reason == "queue-full");
+  CHECK(Mesh.Entry->counters().Attempts - Before == 2);
+}
+
 TEST_CASE("retries stay within the budget") {
   MeshFixture Mesh;
   Mesh.addGate("v1", failing(500));
