Take a response body that ends with its connection

Cause: an upstream may answer without a length and close; the gate took such an answer for malformed and reported 502 although it was complete. Only connections to the upstream accept it: nodes always frame their bodies. A reset instead of an orderly close is still a failure.

--- a/src/amaranthward/nodeprocess.cpp
+++ b/src/amaranthward/nodeprocess.cpp
@@ -36,6 +36,7 @@
   this->Client = std::move(*ClientMade);
   HttpClientLimits UpstreamLimits;
   UpstreamLimits.IdleTimeout = UpstreamIdle;
+  UpstreamLimits.BodyMayEndWithConnection = true;
   auto UpstreamsMade = HttpClient::create(this->Loop, UpstreamLimits);
   if (!UpstreamsMade)
     return tl::make_unexpected(UpstreamsMade.error());
@@ -225,8 +226,8 @@
 void NodeProcess::serveCaller(std::shared_ptr<ServerExchange> Exchange) {
   if (this->Distribution->mayServe())
     return this->Entry->handle(Exchange);
-  LogFields Fields = requestFields(this->Settings.Headers,
-                                   Exchange->request().Headers, "");
+  LogFields Fields =
+      requestFields(this->Settings.Headers, Exchange->request().Headers, "");
   Fields.add("status", 503)
       .add("reason", "no-safe-revision")
       .add("why", this->Distribution->waitReason());
--- a/src/libnet/bodydecoder.cpp
+++ b/src/libnet/bodydecoder.cpp
@@ -31,6 +31,13 @@
     this->Current = *Length > 0 ? State::Length : State::Done;
 }
 
+void BodyDecoder::startUntilEnd() { this->Current = State::UntilEnd; }
+
+void BodyDecoder::end() {
+  if (this->Current == State::UntilEnd)
+    this->Current = State::Done;
+}
+
 BodyDecoder::Step BodyDecoder::decode(std::string_view Input) {
   switch (this->Current) {
   case State::Length:
@@ -43,6 +50,8 @@
     return this->decodeDataEnd(Input);
   case State::Trailers:
     return this->decodeTrailer(Input);
+  case State::UntilEnd:
+    return {Input.size(), Input};
   case State::Done:
   case State::Failed:
     break;
--- a/src/libnet/bodydecoder.h
+++ b/src/libnet/bodydecoder.h
@@ -14,6 +14,11 @@
   /// \param Length none for a chunked body.
   void start(std::optional<std::uint64_t> Length);
 
+  /// For a body that ends with its connection.
+  void startUntilEnd();
+  /// The sender has closed the connection in order; completes such a body.
+  void end();
+
   struct Step {
     /// Input bytes used up.
     std::size_t Consumed = 0;
@@ -29,7 +34,16 @@
   bool failed() const { return this->Current == State::Failed; }
 
 private:
-  enum class State { Length, Size, Data, DataEnd, Trailers, Done, Failed };
+  enum class State {
+    Length,
+    Size,
+    Data,
+    DataEnd,
+    Trailers,
+    UntilEnd,
+    Done,
+    Failed
+  };
 
   Step decodeData(std::string_view Input, State After);
   Step decodeSize(std::string_view Input);
--- a/src/libnet/clientconnection.cpp
+++ b/src/libnet/clientconnection.cpp
@@ -88,9 +88,9 @@
     if (auto Kept = Self.lock())
       Kept->onData(Data);
   };
-  Hooks.OnClosed = [Self](const std::string &Reason) {
+  Hooks.OnClosed = [Self](ConnectionEnd How, const std::string &Reason) {
     if (auto Kept = Self.lock())
-      Kept->failWith(ErrorCode::Unavailable, Reason);
+      Kept->onClosed(How, Reason);
   };
   Hooks.OnDrained = [Self] {
     if (auto Kept = Self.lock())
@@ -196,6 +196,14 @@
   this->pump();
 }
 
+void ClientConnection::onClosed(ConnectionEnd How, const std::string &Reason) {
+  if (How != ConnectionEnd::Ordered || this->Phase != State::Body ||
+      !this->UntilEnd)
+    return this->failWith(ErrorCode::Unavailable, Reason);
+  this->PeerEnded = true;
+  this->pump();
+}
+
 void ClientConnection::onDrained() {
   auto Kept = this->Callbacks;
   if (Kept && Kept->OnDrained)
@@ -253,9 +261,17 @@
   }
   if (connectionHas(Head->Headers, "close"))
     this->CloseAfter = true;
+  if (Head->EndsWithConnection && !this->Limits.BodyMayEndWithConnection) {
+    this->failWith(ErrorCode::Corrupt, "response without a length");
+    return false;
+  }
   bool NoBody = bodyless(Head->Status, this->HeadRequest);
-  this->Decoder.start(NoBody ? std::optional<std::uint64_t>(0)
-                             : Head->BodyLength);
+  this->UntilEnd = Head->EndsWithConnection;
+  if (this->UntilEnd)
+    this->Decoder.startUntilEnd();
+  else
+    this->Decoder.start(NoBody ? std::optional<std::uint64_t>(0)
+                               : Head->BodyLength);
   this->Phase = State::Body;
   if (Kept->OnHead)
     Kept->OnHead(*Head);
@@ -270,6 +286,10 @@
   if (this->BodyPaused)
     return false;
   std::string_view Input = std::string_view(this->In).substr(this->Used);
+  if (this->PeerEnded && Input.empty()) {
+    this->Decoder.end();
+    return true;
+  }
   BodyDecoder::Step Step = this->Decoder.decode(Input);
   if (this->Decoder.failed()) {
     this->failWith(ErrorCode::Corrupt, "malformed chunked body");
@@ -286,7 +306,7 @@
   auto Kept = this->Callbacks;
   // Bytes beyond the response, or a request that is not fully sent, leave
   // the connection in an unknown state.
-  bool Reusable = !this->CloseAfter && this->RequestDone &&
+  bool Reusable = !this->CloseAfter && !this->UntilEnd && this->RequestDone &&
                   this->Stream->pending() == 0 && this->Used == this->In.size();
   if (Reusable) {
     this->Phase = State::Idle;
--- a/src/libnet/clientconnection.h
+++ b/src/libnet/clientconnection.h
@@ -51,6 +51,7 @@
   void onConnected();
   void onData(std::string_view Data);
   void onDrained();
+  void onClosed(ConnectionEnd How, const std::string &Reason);
   void pump();
   bool pumpHead();
   bool pumpBody();
@@ -76,6 +77,10 @@
   bool BodyPaused = false;
   bool HeadRequest = false;
   bool CloseAfter = false;
+  /// The response body ends with the connection.
+  bool UntilEnd = false;
+  /// The peer has closed in order; what it sent may not be delivered yet.
+  bool PeerEnded = false;
   bool RequestDone = false;
   bool ChunkedRequest = false;
   std::uint64_t LeftToSend = 0;
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -48,6 +48,10 @@
   Duration IdleTimeout = std::chrono::seconds(15);
   std::size_t MaxIdlePerAddress = 32;
   std::size_t MaxHeaderBytes = 16UL * 1024;
+  /// Takes a body that has neither a length nor chunks as complete when the
+  /// peer closes the connection in order. A peer that ends in the middle of
+  /// such a body cannot be told from one that is done.
+  bool BodyMayEndWithConnection = false;
 };
 
 struct HttpResponse {
--- a/src/libnet/httpmessage.h
+++ b/src/libnet/httpmessage.h
@@ -41,6 +41,9 @@
   HttpHeaders Headers;
   /// Length of the body in bytes; none for a chunked body.
   std::optional<std::uint64_t> BodyLength = 0;
+  /// Of a received response: the body has neither a length nor chunks and ends
+  /// when the sender closes the connection.
+  bool EndsWithConnection = false;
 };
 
 /// The path part of a request target.
--- a/src/libnet/messagehead.cpp
+++ b/src/libnet/messagehead.cpp
@@ -254,9 +254,7 @@
   Head.BodyLength = Found->Length;
   if (bodyless(Head.Status, HeadRequest))
     return Head;
-  // A body that ends with the connection cannot be told from a truncated one.
-  if (!Found->Length && !Found->Chunked)
-    return refuse(502, "response without a length");
+  Head.EndsWithConnection = !Found->Length && !Found->Chunked;
   return Head;
 }
 
--- a/src/libnet/serverconnection.cpp
+++ b/src/libnet/serverconnection.cpp
@@ -87,7 +87,7 @@
     if (auto Kept = Self.lock())
       Kept->onData(Data);
   };
-  Hooks.OnClosed = [Self](const std::string &) {
+  Hooks.OnClosed = [Self](ConnectionEnd, const std::string &) {
     if (auto Kept = Self.lock())
       Kept->onClosed();
   };
--- a/tests/libnet/test_httpclient.cpp
+++ b/tests/libnet/test_httpclient.cpp
@@ -1,5 +1,6 @@
 #include "libnet/netfixture.h"
 #include <Poco/Net/ServerSocket.h>
+#include <array>
 
 using namespace amaranthward;
 
@@ -91,6 +92,37 @@
     }
 }
 
+TEST_CASE("a body without a length ends with its connection") {
+  // Guards against complete answers of upstreams that are reported as failed,
+  // and against a reset one that is delivered as complete.
+  NetFixture Net;
+  HttpClientLimits Limits;
+  Limits.BodyMayEndWithConnection = true;
+  auto Client = std::move(*HttpClient::create(*Net.Loop, Limits));
+  std::string Head = "HTTP/1.1 200 OK\r\nX: y\r\n\r\n";
+  bool Reset = false;
+  SUBCASE("closed in order") { Reset = false; }
+  SUBCASE("reset") { Reset = true; }
+  Poco::Net::ServerSocket Listener(Poco::Net::SocketAddress("127.0.0.1:0"));
+  Seen Found;
+  auto Exchange = Client->send(Endpoint(Listener.address().toString()), get(),
+                               Found.hooks());
+  Poco::Net::StreamSocket Peer = Listener.acceptConnection();
+  std::string Text = Head + std::string(50000, 'b');
+  Peer.sendBytes(Text.data(), static_cast<int>(Text.size()));
+  REQUIRE(Net.runUntil([&] { return Found.Body.size() == 50000; }));
+  CHECK_FALSE(Found.over());
+  // A close with unread bytes would be a reset.
+  std::array<char, 4096> Request{};
+  REQUIRE(Peer.receiveBytes(Request.data(), Request.size()) > 0);
+  if (Reset)
+    Peer.setLinger(true, 0);
+  Peer.close();
+  REQUIRE(Net.runUntil([&] { return Found.over(); }));
+  CHECK(Found.Ends == (Reset ? 0 : 1));
+  CHECK(Found.Failures == (Reset ? 1 : 0));
+}
+
 TEST_CASE("a malformed response is a failure") {
   for (const char *Bytes :
        {"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n",
