Do not send a call again that cannot end in time; split long files

A call is now sent again only if the least time of its route, as measured at this entry, fits.

GateRole and EntryCall get files of their own for what concerns the upstream and the end of a call; headernames is named after what it holds.

--- a/src/amaranthctl/main.cpp
+++ b/src/amaranthctl/main.cpp
@@ -39,7 +39,8 @@
     "  amaranthctl explain ID FILE...      log lines about one request\n"
     "\n"
     "Exit status: 0 done; 1 refused, in conflict, rolled back or not found;\n"
-    "2 invalid input; 3 no replica answers; 4 timed out waiting to be in force.";
+    "2 invalid input; 3 no replica answers; 4 timed out waiting to be in "
+    "force.";
 
 using Command = ExitCode (*)(CommandContext &);
 
--- a/src/libcore/boundedsink.h
+++ b/src/libcore/boundedsink.h
@@ -13,7 +13,8 @@
 
 /// Sink of all loggers: keeps a bounded number of bytes until standard output
 /// takes them, and never waits for it.
-class BoundedSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+class BoundedSink
+    : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
 public:
   /// \param MostBytes bytes that may wait.
   BoundedSink(int Descriptor, std::size_t MostBytes)
--- a/src/libcore/latencybuckets.h
+++ b/src/libcore/latencybuckets.h
@@ -12,7 +12,7 @@
 public:
   /// Upper bounds in milliseconds; they include usual objectives of routes.
   static constexpr std::array<int, 17> Bounds = {
-      1,   2,   5,   10,  25,   50,   100,  120,  200,
+      1,   2,   5,   10,  25,   50,   100,  120, 200,
       300, 400, 500, 800, 1000, 1200, 2500, 5000};
 
   void add(Duration Latency);
--- a/src/libpolicy/admissiongate.cpp
+++ b/src/libpolicy/admissiongate.cpp
@@ -120,16 +120,14 @@
                              : this->Times.least(Call.Route, Now);
 }
 
-Duration
-AdmissionControl::Impl::waitFor(const AdmissionQueue::Waiting &Call,
-                                Instant Now) const {
+Duration AdmissionControl::Impl::waitFor(const AdmissionQueue::Waiting &Call,
+                                         Instant Now) const {
   Duration Turn = this->Times.mean() / this->limit(Now);
   std::uint32_t Ahead = this->Queue.ahead(Call);
   // A route that is behind gets every second turn at least.
   const auto &Waiting = this->Queue.calls();
   bool Behind = std::any_of(
-      Waiting.begin(), Waiting.end(),
-      [&](const AdmissionQueue::Waiting &Each) {
+      Waiting.begin(), Waiting.end(), [&](const AdmissionQueue::Waiting &Each) {
         return Each.sameGroup(Call) && Each < Call &&
                this->Shares.isBehind(Call.Route, Each.Route);
       });
--- a/src/libpolicy/admissionqueue.cpp
+++ b/src/libpolicy/admissionqueue.cpp
@@ -74,9 +74,10 @@
   for (const Waiting &One : this->Calls) {
     if (!One.sameGroup(First))
       break;
-    auto Known = std::find_if(
-        Best.begin(), Best.end(),
-        [&](const Waiting *Each) { return Each->Route == One.Route; });
+    auto Known =
+        std::find_if(Best.begin(), Best.end(), [&](const Waiting *Each) {
+          return Each->Route == One.Route;
+        });
     if (Known == Best.end())
       Best.push_back(&One);
     else if (!InTime(**Known) && InTime(One))
--- a/src/libpolicy/retrydecision.cpp
+++ b/src/libpolicy/retrydecision.cpp
@@ -1,5 +1,7 @@
 #include "libpolicy/retrydecision.h"
 
+#include <algorithm>
+
 namespace amaranthward {
 
 namespace {
@@ -52,7 +54,7 @@
     return stop(StopReason::MayHaveRun);
   if (!Question.BodyHeld)
     return stop(StopReason::BodyGone);
-  if (Question.TimeLeft < MinRetryTime)
+  if (Question.TimeLeft < std::max(MinRetryTime, Question.LeastTime))
     return stop(StopReason::NoTimeLeft);
   if (!Failed && Question.Leaving)
     return {RetryAction::RetryElsewhere, StopReason::None};
--- a/src/libpolicy/retrydecision.h
+++ b/src/libpolicy/retrydecision.h
@@ -51,6 +51,8 @@
   /// An upstream that this call has not tried yet is in service.
   bool OthersLeft = true;
   Duration TimeLeft = Duration::zero();
+  /// Time that a call of the route needs at least; 0 when not known.
+  Duration LeastTime = Duration::zero();
   bool BudgetLeft = false;
 };
 
--- a/src/libproxy/entrycall.cpp
+++ b/src/libproxy/entrycall.cpp
@@ -1,6 +1,5 @@
 #include "libproxy/entrycall.h"
 #include "libproxy/attemptresult.h"
-#include <cstdio>
 
 namespace amaranthward {
 
@@ -8,13 +7,7 @@
 
 constexpr int Unavailable = 503;
 constexpr int GatewayTimeout = 504;
-constexpr int BadGateway = 502;
 constexpr int FirstServerError = 500;
-/// When a refused caller should return: about the time in which a full
-/// upstream ends some of its calls, and a random part on top.
-constexpr Duration ReturnAfter = std::chrono::milliseconds(100);
-constexpr Duration ReturnSpread = std::chrono::milliseconds(150);
-
 /// The attempt ended at the gate and no byte of it reached an upstream.
 bool refusedByGate(const AttemptFailure &Failure) {
   return Failure.Known == Outcome::NotRun &&
@@ -312,6 +305,8 @@
   Duration Latency = Now - this->AttemptStart;
   this->Shared.Directory.finish(this->Route.Service, *this->Chosen, Result,
                                 Latency, Now);
+  if (Result == AttemptResult::Success)
+    this->Shared.addTime(this->Route.Name, Latency, Now);
   if (Ok && this->Shared.Hooks.OnAttempt)
     this->Shared.Hooks.OnAttempt({this->Route.Service,
                                   this->Chosen->Target.Version,
@@ -341,6 +336,7 @@
       this->Shared.Directory.hasOther(this->Route.Service,
                                       this->Chosen->Version, this->Avoid);
   Question.TimeLeft = this->Until.left(Now);
+  Question.LeastTime = this->Shared.leastTime(this->Route.Name, Now);
   Question.BudgetLeft = Budget && Budget->available();
   RetryDecision Decision = retryDecision(Question);
   this->logAttemptEnd(toString(Failure.Known), Failure.Status, Failure.Reason,
@@ -377,61 +373,6 @@
   return true;
 }
 
-void EntryCall::giveUp(Outcome Known, int Status, const std::string &Reason) {
-  auto Self = this->shared_from_this();
-  if (!this->Exchange)
-    return;
-  if (this->Attempt) {
-    this->MayHaveRun = this->MayHaveRun || this->Attempt->mayHaveRun();
-    this->Attempt->cancel();
-    this->record(AttemptResult::Timeout, false);
-  }
-  // The gate of an earlier request knows nothing of attempts at other gates.
-  if (this->MayHaveRun || this->Attached)
-    Known = Outcome::Unknown;
-  if (Known == Outcome::NotRun)
-    this->releaseClaim();
-  // The status of an unknown outcome must promise nothing, and a caller whose
-  // request has not run is told so, because it may then send it again.
-  if (Known != Outcome::NotRun && promisesNotRun(Status))
-    Status = BadGateway;
-  if (Known == Outcome::NotRun && Status == GatewayTimeout)
-    Status = Unavailable;
-  ++(Known == Outcome::NotRun ? this->Shared.Counters.NotRun
-                              : this->Shared.Counters.Unknown);
-  this->reportEnd(toString(Known), this->HeadSent ? 0 : Status, Reason);
-  if (this->HeadSent)
-    this->Exchange->abort();
-  else
-    respond(*this->Exchange, Status, "text/plain", Reason + "\n",
-            this->refusalHeaders(Known, Status, Reason));
-  this->over();
-}
-
-HttpHeaders EntryCall::refusalHeaders(Outcome Known, int Status,
-                                      const std::string &Reason) const {
-  HttpHeaders Fields = outcomeFields(Known, Reason);
-  if (Known != Outcome::NotRun || Status != Unavailable)
-    return Fields;
-  // Spread, so that callers refused together do not return together.
-  std::uint64_t Spread = this->Shared.Random() % ReturnSpread.count();
-  Duration After = ReturnAfter + Duration(static_cast<std::int64_t>(Spread));
-  char Text[16];
-  std::snprintf(Text, sizeof(Text), "%.3f",
-                std::chrono::duration<double>(After).count());
-  Fields.add("Retry-After", Text);
-  return Fields;
-}
-
-void EntryCall::over() {
-  this->record(AttemptResult::Cancelled, std::nullopt);
-  this->Shared.Loop.cancel(this->DeadlineTimer);
-  this->Exchange.reset();
-  this->Attempt.reset();
-  if (auto Done = std::move(this->OnOver))
-    Done(this);
-}
-
 void EntryCall::checkSilence(Instant Now) {
   if (this->Attempt)
     this->Attempt->checkSilence(Now);
--- a/src/libproxy/entrycall.h
+++ b/src/libproxy/entrycall.h
@@ -64,7 +64,8 @@
   void logAttemptEnd(const char *Ended, int Status, const std::string &Reason,
                      const RetryDecision &Decision, bool BudgetLeft) const;
   /// \param Known what is known about the call: an outcome, or "caller-left".
-  void reportEnd(const char *Known, int Status, const std::string &Reason) const;
+  void reportEnd(const char *Known, int Status,
+                 const std::string &Reason) const;
   bool keyed() const;
   bool unproven() const;
 
--- a/src/libproxy/entrycalllog.cpp
+++ b/src/libproxy/entrycalllog.cpp
@@ -50,8 +50,7 @@
                           const std::string &Reason) const {
   Instant Now = this->Shared.Loop.now();
   if (this->Shared.Hooks.OnCallEnd)
-    this->Shared.Hooks.OnCallEnd(this->Route.Name, Known,
-                                 Now - this->Received);
+    this->Shared.Hooks.OnCallEnd(this->Route.Name, Known, Now - this->Received);
   LogFields Fields = this->choiceFields(Now);
   Fields.add("outcome", Known)
       .add("status", Status)
--- a/src/libproxy/entrycontext.cpp
+++ b/src/libproxy/entrycontext.cpp
@@ -35,6 +35,16 @@
   return &Found->second;
 }
 
+void EntryContext::addTime(const RouteName &Route, Duration Took, Instant Now) {
+  this->Times[Route].add(0, Took, Now);
+}
+
+Duration EntryContext::leastTime(const RouteName &Route, Instant Now) const {
+  auto Found = this->Times.find(Route);
+  return Found == this->Times.end() ? Duration::zero()
+                                    : Found->second.least(0, Now);
+}
+
 ServiceName EntryContext::serviceFor(const RouteSpec &Route) {
   if (Route.Parts.empty())
     return Route.Service;
--- a/src/libproxy/entrycontext.h
+++ b/src/libproxy/entrycontext.h
@@ -3,9 +3,10 @@
 
 #include "libnet/httpclient.h"
 #include "libpolicy/retrybudget.h"
+#include "libpolicy/servicetimes.h"
 #include "libpolicy/weightedorder.h"
 #include "libproxy/claimrequest.h"
-#include "libproxy/headernames.h"
+#include "libproxy/responsecheck.h"
 #include "libproxy/upstreamdirectory.h"
 #include "libproxy/versiondraw.h"
 
@@ -65,10 +66,15 @@
   std::map<ServiceName, RetryBudget> Budgets;
   std::map<RouteName, WeightedOrder> Parts;
   EntryCounters Counters;
+  /// Times of successful attempts, with the way to the gate.
+  std::map<RouteName, ServiceTimes> Times;
   std::uint64_t LastSequence = 0;
 
   RequestId nextId() { return {this->Self.Start, ++this->LastSequence}; }
   RetryBudget *budget(const ServiceName &Service);
+  void addTime(const RouteName &Route, Duration Took, Instant Now);
+  /// Time that an attempt needs at least; zero when it was not measured lately.
+  Duration leastTime(const RouteName &Route, Instant Now) const;
   /// The service of the next call on \a Route.
   ServiceName serviceFor(const RouteSpec &Route);
 };
--- a/src/libproxy/entryrole.cpp
+++ b/src/libproxy/entryrole.cpp
@@ -32,6 +32,7 @@
              {},
              {},
              {},
+             {},
              0} {
   this->Ticker = Loop.every(Options.SilenceCheck, [this] {
     Instant Now = this->Shared.Loop.now();
@@ -99,7 +100,8 @@
   auto Class = classOf(Route->Class, Request.Headers);
   auto Left = callerTimeLeft(this->Shared.Names.Deadline, Request.Headers);
   if (!Class || !Left) {
-    this->refuse(*Exchange, 400, (Class ? Left.error() : Class.error()).Message);
+    this->refuse(*Exchange, 400,
+                 (Class ? Left.error() : Class.error()).Message);
     return;
   }
   Deadline Until =
--- a/src/libproxy/execution.h
+++ b/src/libproxy/execution.h
@@ -6,7 +6,7 @@
 #include "libpolicy/admissioncontrol.h"
 #include "libproxy/announcement.h"
 #include "libproxy/callheaders.h"
-#include "libproxy/headernames.h"
+#include "libproxy/responsecheck.h"
 
 namespace amaranthward {
 
--- a/src/libproxy/gaterole.cpp
+++ b/src/libproxy/gaterole.cpp
@@ -1,5 +1,4 @@
 #include "libproxy/gaterole.h"
-#include <algorithm>
 
 namespace amaranthward {
 
@@ -7,7 +6,6 @@
 
 constexpr int Unavailable = 503;
 constexpr int BadGateway = 502;
-constexpr std::size_t MaxAnnouncement = 4096;
 
 } // namespace
 
@@ -278,123 +276,6 @@
   });
 }
 
-void GateRole::announce(const UpstreamAnnouncement &Upstream) {
-  if (this->isLate(Upstream))
-    return;
-  this->LastAnnounced = this->Loop.now();
-  bool Replaced = !this->Current || !this->Current->sameStart(Upstream);
-  bool WasLeaving = this->Current && this->Current->Leaving;
-  bool Same = !Replaced && WasLeaving == Upstream.Leaving &&
-              this->Current->Connections == Upstream.Connections;
-  this->Current = this->Newest = Upstream;
-  if (Replaced)
-    this->createAdmission();
-  this->informAdmission();
-  if (Same)
-    return this->scheduleWake();
-  if (Upstream.Leaving || this->ZoneOut)
-    this->Admission->leave(this->LastAnnounced);
-  else if (WasLeaving)
-    this->Admission->restore(this->LastAnnounced);
-  this->scheduleWake();
-  this->logUpstream("upstream_changed");
-  if (this->Hooks.OnUpstream)
-    this->Hooks.OnUpstream(this->Current);
-}
-
-bool GateRole::isLate(const UpstreamAnnouncement &Said) const {
-  if (!Said.Instance.empty() && this->Ended == Said.Instance &&
-      this->Newest->StartedAt >= Said.StartedAt)
-    return true;
-  if (!this->Newest || Said.StartedAt > this->Newest->StartedAt)
-    return false;
-  if (Said.StartedAt < this->Newest->StartedAt)
-    return true;
-  return Said.Instance == this->Newest->Instance && Said.Sequence != 0 &&
-         Said.Sequence <= this->Newest->Sequence;
-}
-
-void GateRole::deregister(const UpstreamEnd &Said) {
-  if (!this->Newest || this->Newest->Instance != Said.Instance)
-    return;
-  if (Said.StartedAt != 0 && Said.StartedAt < this->Newest->StartedAt)
-    return;
-  this->Ended = Said.Instance;
-  if (!this->Current || this->Current->Leaving)
-    return;
-  this->Current->Leaving = true;
-  this->Admission->leave(this->Loop.now());
-  this->scheduleWake();
-  this->logUpstream("upstream_ends");
-  if (this->Hooks.OnUpstream)
-    this->Hooks.OnUpstream(this->Current);
-}
-
-AdmissionSettings GateRole::admissionSettings() const {
-  AdmissionSettings Settings;
-  Settings.Slots = this->Current->Slots;
-  const ServiceSpec *Service =
-      this->State.View ? this->State.View->service(this->Current->Service)
-                       : nullptr;
-  if (Service) {
-    Settings.Slots = std::min(Settings.Slots, Service->Limits.Slots);
-    Settings.Queue = Service->Limits.Queue;
-    Settings.WarmUp = Service->Limits.WarmUp;
-  }
-  return Settings;
-}
-
-void GateRole::informAdmission() {
-  if (!this->Current || !this->State.View)
-    return;
-  const ServiceName &Name = this->Current->Service;
-  this->Admission->reserveForUrgent(this->State.View->hasUrgentRoute(Name));
-  const ServiceSpec *Service = this->State.View->service(Name);
-  if (!Service || !this->Current->ColdFor)
-    return;
-  Instant Now = this->Loop.now();
-  Duration Left = *this->Current->ColdFor - (Now - this->LastAnnounced);
-  this->Admission->declareCold(std::max(Left, Duration(0)),
-                               Service->Limits.ColdCallsPerSecond, Now);
-}
-
-void GateRole::createAdmission() {
-  AdmissionSettings Settings = this->admissionSettings();
-  auto Made = AdmissionControl::create(Settings, this->Loop.now());
-  if (!Made)
-    return;
-  // Waiting requests were admitted for the previous upstream.
-  for (const auto &[Id, Each] : std::map(this->UnderWay))
-    Each->refuse(Unavailable, "upstream-replaced");
-  this->Tickets.clear();
-  this->Limits = Settings;
-  this->Admission.emplace(std::move(*Made));
-}
-
-void GateRole::handleAnnounce(std::shared_ptr<ServerExchange> Exchange) {
-  readBody(Exchange, MaxAnnouncement, [this](auto Done, std::string Text) {
-    auto Body = parseJson(Text);
-    auto Parsed =
-        Body ? UpstreamAnnouncement::parse(*Body)
-             : Result<UpstreamAnnouncement>(tl::make_unexpected(Body.error()));
-    if (!Parsed) {
-      respondJson(*Done, 400, {{"error", Parsed.error().Message}});
-      return;
-    }
-    this->announce(*Parsed);
-    respondJson(*Done, 200, Json::object());
-  });
-}
-
-void GateRole::withdraw() {
-  this->logUpstream("upstream_lost");
-  this->Current.reset();
-  for (const auto &[Id, Each] : std::map(this->UnderWay))
-    Each->refuse(Unavailable, "no-upstream");
-  if (this->Hooks.OnUpstream)
-    this->Hooks.OnUpstream(std::nullopt);
-}
-
 void GateRole::drain() { this->Draining = true; }
 
 void GateRole::tick() {
--- a/src/libproxy/requestlog.h
+++ b/src/libproxy/requestlog.h
@@ -4,7 +4,7 @@
 #include "libcore/eventlog.h"
 #include "libpolicy/admissioncontrol.h"
 #include "libproxy/callheaders.h"
-#include "libproxy/headernames.h"
+#include "libproxy/responsecheck.h"
 
 namespace amaranthward {
 
--- a/tests/libcore/test_metrics.cpp
+++ b/tests/libcore/test_metrics.cpp
@@ -34,13 +34,12 @@
   Calls.add(std::chrono::milliseconds(300));
   Calls.add(std::chrono::seconds(60));
   std::string Text = Registry.toText();
-  for (const char *Line :
-       {"# TYPE call_seconds histogram\n",
-        "call_seconds_bucket{route=\"a\",le=\"0.05\"} 0\n",
-        "call_seconds_bucket{route=\"a\",le=\"0.1\"} 1\n",
-        "call_seconds_bucket{route=\"a\",le=\"0.3\"} 2\n",
-        "call_seconds_bucket{route=\"a\",le=\"5\"} 2\n",
-        "call_seconds_bucket{route=\"a\",le=\"+Inf\"} 3\n",
-        "call_seconds_count{route=\"a\"} 3\n"})
+  for (const char *Line : {"# TYPE call_seconds histogram\n",
+                           "call_seconds_bucket{route=\"a\",le=\"0.05\"} 0\n",
+                           "call_seconds_bucket{route=\"a\",le=\"0.1\"} 1\n",
+                           "call_seconds_bucket{route=\"a\",le=\"0.3\"} 2\n",
+                           "call_seconds_bucket{route=\"a\",le=\"5\"} 2\n",
+                           "call_seconds_bucket{route=\"a\",le=\"+Inf\"} 3\n",
+                           "call_seconds_count{route=\"a\"} 3\n"})
     CHECK(Text.find(Line) != std::string::npos);
 }
--- a/tests/libpolicy/test_admissionorder.cpp
+++ b/tests/libpolicy/test_admissionorder.cpp
@@ -140,8 +140,8 @@
       Ask(Upload, 500ms, 1200ms, "upload");
     if (Step % 4 != 3)
       continue;
-    AdmissionActions Done = Running ? One.finish(*Running)
-                                    : One.Control->advance(One.Now);
+    AdmissionActions Done =
+        Running ? One.finish(*Running) : One.Control->advance(One.Now);
     Running.reset();
     for (AdmissionTicket Each : Done.Start)
       Start(Each, *Waiting.at(Each));
--- a/tests/libpolicy/test_retries.cpp
+++ b/tests/libpolicy/test_retries.cpp
@@ -195,3 +195,26 @@
                           "1 ", "abc", "1.2.3", "0x10"})
     CHECK_MESSAGE(!Deadline::parseHeader(Bad), Bad);
 }
+
+TEST_CASE("A call is not sent again when it cannot end in time") {
+  // Guards against three more gates being asked 8 ms before the deadline.
+  RetryQuestion Question;
+  Question.Outcome = AttemptOutcome::NotRun;
+  Question.RefusedByGate = true;
+  Question.TimeLeft = 8ms;
+  CHECK((retryDecision(Question).Action == RetryAction::RetryElsewhere));
+  Question.LeastTime = 40ms;
+  CHECK((retryDecision(Question).Action == RetryAction::Stop));
+  CHECK((retryDecision(Question).Reason == StopReason::NoTimeLeft));
+}
+
+TEST_CASE("A call that no other gate can take is not sent again") {
+  // Guards against asking full gates again and again.
+  RetryQuestion Question;
+  Question.Outcome = AttemptOutcome::NotRun;
+  Question.RefusedByGate = true;
+  Question.TimeLeft = 1s;
+  CHECK((retryDecision(Question).Action == RetryAction::RetryElsewhere));
+  Question.OthersLeft = false;
+  CHECK((retryDecision(Question).Reason == StopReason::NoneLeft));
+}
--- a/tests/libproxy/test_responsecheck.cpp
+++ b/tests/libproxy/test_responsecheck.cpp
@@ -1,4 +1,4 @@
-#include "libproxy/headernames.h"
+#include "libproxy/responsecheck.h"
 
 #include <doctest/doctest.h>
 
