--- a/src/amaranthctl/explainrequest.cpp
+++ b/src/amaranthctl/explainrequest.cpp
@@ -32,10 +32,11 @@
     auto Fields = parseJson(Line.substr(Start));
     if (!Fields || !Fields->is_object())
       continue;
-    std::string Prefix = trimmed(Line.substr(0, Start));
-    All.push_back({numberAt(*Fields, "time_ms"),
-                   Prefix.empty() ? File : File + " " + Prefix,
-                   std::move(*Fields)});
+    std::string Origin = File;
+    if (std::string Prefix = trimmed(Line.substr(0, Start)); !Prefix.empty())
+      Origin.append(" ").append(Prefix);
+    All.push_back(
+        {numberAt(*Fields, "time_ms"), std::move(Origin), std::move(*Fields)});
   }
 }
 
