Bound the refusals of leaving gates that one call meets

Cause: a call that a leaving gate refuses is sent elsewhere without a bound. When the only upstream of a service is in a zone that is out, the choice offers it again, and the call went round 98,854 times until its deadline of 5 s and then ended as unknown.

Change: 16 refusals of leaving gates, then the call is refused.

--- a/src/libpolicy/retrydecision.cpp
+++ b/src/libpolicy/retrydecision.cpp
@@ -57,7 +57,9 @@
   if (Question.TimeLeft < std::max(MinRetryTime, Question.LeastTime))
     return stop(StopReason::NoTimeLeft);
   if (!Failed && Question.Leaving)
-    return {RetryAction::RetryElsewhere, StopReason::None};
+    return Question.GateRefusals < MaxLeavingRefusals
+               ? RetryDecision{RetryAction::RetryElsewhere, StopReason::None}
+               : stop(StopReason::TooManyAttempts);
   if (!Failed && Question.RefusedByGate && !Question.OthersLeft)
     return stop(StopReason::NoneLeft);
   if (!Failed && Question.RefusedByGate)
--- a/src/libpolicy/retrydecision.h
+++ b/src/libpolicy/retrydecision.h
@@ -25,6 +25,10 @@
 /// but each one takes a round trip between nodes.
 inline constexpr std::uint32_t MaxGateRefusals = 4;
 
+/// The same for gates that are leaving, of which many may leave at once. A
+/// lone upstream is offered again and again, so there must be an end.
+inline constexpr std::uint32_t MaxLeavingRefusals = 16;
+
 struct RetryQuestion {
   AttemptOutcome Outcome = AttemptOutcome::Unknown;
   bool Idempotent = false;
--- a/tests/libpolicy/test_retries.cpp
+++ b/tests/libpolicy/test_retries.cpp
@@ -218,3 +218,17 @@
   Question.OthersLeft = false;
   CHECK((retryDecision(Question).Reason == StopReason::NoneLeft));
 }
+
+TEST_CASE("A call is not sent to leaving gates without end") {
+  // Guards against a lone upstream whose zone is out: a call went to it 98,854
+  // times in the 5 s until its deadline.
+  RetryQuestion Question;
+  Question.Outcome = AttemptOutcome::NotRun;
+  Question.Leaving = true;
+  Question.RefusedByGate = true;
+  Question.TimeLeft = 1s;
+  Question.GateRefusals = MaxLeavingRefusals - 1;
+  CHECK((retryDecision(Question).Action == RetryAction::RetryElsewhere));
+  Question.GateRefusals = MaxLeavingRefusals;
+  CHECK((retryDecision(Question).Action == RetryAction::Stop));
+}
