Read the change again: one piece of code where there were two

- RoutingView answers whether a service has announced versions; the draw, the gate and the directory of upstreams each asked that themselves.
- ControlService checks a set that was not read from YAML, and refuses an ordered move where it does not lead; platform/ did both.
A set read from YAML is hashed once instead of twice.
- The gate counts, logs and answers a refusal in one place; what counts as a refusal of a gate stands beside the other reasons.
- The estimate of a wait uses the turn that the caller has computed.

--- a/src/amaranthward/controlprocess.cpp
+++ b/src/amaranthward/controlprocess.cpp
@@ -5,6 +5,19 @@
 
 namespace amaranthward {
 
+namespace {
+
+/// With seeds a replica is named by its address, so that every name says where
+/// the replica is.
+std::vector<ReplicaName> namesOf(const std::vector<Endpoint> &Seeds) {
+  std::vector<ReplicaName> Names;
+  for (const Endpoint &Seed : Seeds)
+    Names.emplace_back(Seed.str());
+  return Names;
+}
+
+} // namespace
+
 Result<std::unique_ptr<ControlProcess>>
 ControlProcess::create(EventLoop &Loop, ControlSettings Settings) {
   std::unique_ptr<ControlProcess> Process(
@@ -21,12 +34,8 @@
       this->Settings.Advertise.value_or(this->Settings.Listen).str());
 }
 
-// With seeds a replica is named by its address, so that every name says where
-// the replica is.
 OpenMembership
-ControlProcess::openMembership(std::vector<ReplicaName> &Peers) const {
-  for (const Endpoint &Seed : this->Settings.Seeds)
-    Peers.emplace_back(Seed.str());
+ControlProcess::openMembership(const std::vector<ReplicaName> &Peers) const {
   OpenMembership Open;
   bool IsSeed =
       std::find(Peers.begin(), Peers.end(), this->ownName()) != Peers.end();
@@ -45,8 +54,10 @@
   Replication.Self = this->ownName();
   for (const ControlPeer &Peer : this->Settings.Peers)
     Replication.Peers.push_back(Peer.Name);
-  if (!this->Settings.Seeds.empty())
+  if (!this->Settings.Seeds.empty()) {
+    Replication.Peers = namesOf(this->Settings.Seeds);
     Replication.Open = this->openMembership(Replication.Peers);
+  }
   Replication.DataFolder = this->Settings.DataFolder;
   Replication.SnapshotAfterBytes = SnapshotAfterBytes;
   ControlServiceHooks Hooks;
@@ -192,10 +203,7 @@
   if (Changed.Seeds.empty() || this->Settings.Seeds.empty())
     return;
   this->Settings.Seeds = Changed.Seeds;
-  std::vector<ReplicaName> Names;
-  for (const Endpoint &Seed : Changed.Seeds)
-    Names.emplace_back(Seed.str());
-  this->Service->setPeers(std::move(Names));
+  this->Service->setPeers(namesOf(Changed.Seeds));
 }
 
 Endpoint ControlProcess::addressOf(const ReplicaName &Name) const {
--- a/src/amaranthward/controlprocess.h
+++ b/src/amaranthward/controlprocess.h
@@ -41,7 +41,7 @@
       : Loop(Loop), Settings(std::move(Settings)) {}
   Result<void> start();
   ReplicaName ownName() const;
-  OpenMembership openMembership(std::vector<ReplicaName> &Peers) const;
+  OpenMembership openMembership(const std::vector<ReplicaName> &Peers) const;
   void addRoutes();
   void updateGauges();
   void sendToReplica(const ReplicaName &To, const Json &Message);
--- a/src/amaranthward/nodeprocess.cpp
+++ b/src/amaranthward/nodeprocess.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::size_t MaxCallerConnections = 4096;
 constexpr std::size_t MaxPeerConnections = 8192;
+constexpr const char *NoSafeRevision = "no-safe-revision";
 
 // Numbers below 2^53 stay exact in every JSON reader.
 Incarnation drawIncarnation() { return Incarnation(systemRandom()() >> 11); }
@@ -229,12 +230,10 @@
   LogFields Fields =
       requestFields(this->Settings.Headers, Exchange->request().Headers, "");
   Fields.add("status", 503)
-      .add("reason", "no-safe-revision")
+      .add("reason", NoSafeRevision)
       .add("why", this->Distribution->waitReason());
   logEvent(logpart::Entry, "refused", Fields, this->Loop.now());
-  HttpHeaders Headers;
-  Headers.add("Amaranth-Outcome", "not-run");
-  Headers.add("Amaranth-Reason", "no-safe-revision");
+  HttpHeaders Headers = outcomeFields(Outcome::NotRun, NoSafeRevision);
   Headers.add("Retry-After", SafeRevisionRetryAfter);
   respondError(*Exchange, 503, this->Distribution->waitReason(),
                std::move(Headers));
--- a/src/libconfig/routingview.cpp
+++ b/src/libconfig/routingview.cpp
@@ -220,6 +220,11 @@
   return Found == this->Shared->Services.end() ? nullptr : &Found->second;
 }
 
+bool RoutingView::hasAnnouncedVersions(const ServiceName &Name) const {
+  const ServiceSpec *Spec = this->service(Name);
+  return Spec && Spec->Versions.empty();
+}
+
 bool RoutingView::hasUrgentRoute(const ServiceName &Name) const {
   const auto &Routes = this->Shared->Routes;
   return std::any_of(Routes.begin(), Routes.end(), [&Name](const auto &Each) {
--- a/src/libconfig/routingview.h
+++ b/src/libconfig/routingview.h
@@ -36,6 +36,8 @@
   const RouteSpec *route(const RouteName &Name) const;
   /// Split and Move of the result are empty.
   const ServiceSpec *service(const ServiceName &Name) const;
+  /// Whether the service's versions are those that its upstreams announce.
+  bool hasAnnouncedVersions(const ServiceName &Name) const;
   /// Whether a route whose calls go to \a Name has class urgent.
   bool hasUrgentRoute(const ServiceName &Name) const;
   /// Shares now in force; empty for an unknown service.
--- a/src/libconfig/speccodec.cpp
+++ b/src/libconfig/speccodec.cpp
@@ -26,6 +26,14 @@
   return static_cast<std::uint64_t>(Value.count());
 }
 
+/// Leaves \a Target as it is when the field is absent.
+template <typename Value, typename Field>
+void readIfPresent(JsonFields &Fields, const char *Key,
+                   Value (JsonFields::*Read)(const char *), Field &Target) {
+  if (Fields.has(Key))
+    Target = (Fields.*Read)(Key);
+}
+
 } // namespace
 
 Json toJson(const ZoneSpec &Zone) {
@@ -69,8 +77,8 @@
   Service.Limits.Connections = Limits.number32("connections");
   Service.Limits.Queue = Limits.number32("queue");
   Service.Limits.WarmUp = Limits.duration("warm_up_us");
-  if (Limits.has("cold_calls_per_second"))
-    Service.Limits.ColdCallsPerSecond = Limits.decimal("cold_calls_per_second");
+  readIfPresent(Limits, "cold_calls_per_second", &JsonFields::decimal,
+                Service.Limits.ColdCallsPerSecond);
   if (!Fields.good())
     return Fields.failure();
   if (!Limits.good())
@@ -128,14 +136,10 @@
   Route.Class = Class.value_or(CallClass::Interactive);
   Route.Idempotent = Fields.boolean("idempotent");
   Route.Timeout = Fields.duration("timeout_us");
-  if (Fields.has("host"))
-    Route.Host = Fields.text("host");
-  if (Fields.has("objective_us"))
-    Route.Objective = Fields.duration("objective_us");
-  if (Fields.has("attempts"))
-    Route.Attempts = Fields.number32("attempts");
-  if (Fields.has("priority"))
-    Route.Priority = Fields.number32("priority");
+  readIfPresent(Fields, "host", &JsonFields::text, Route.Host);
+  readIfPresent(Fields, "objective_us", &JsonFields::duration, Route.Objective);
+  readIfPresent(Fields, "attempts", &JsonFields::number32, Route.Attempts);
+  readIfPresent(Fields, "priority", &JsonFields::number32, Route.Priority);
   if (Fields.has("parts")) {
     auto Parts = partsFromJson(Fields.array("parts"));
     if (!Parts)
@@ -169,14 +173,14 @@
   MeshLimits Limits;
   Limits.RetryBudget = Fields.share("retry_budget");
   Limits.IdempotencyRetention = Fields.duration("idempotency_retention_us");
-  if (Fields.has("max_header_bytes"))
-    Limits.MaxHeaderBytes = Fields.number("max_header_bytes");
-  if (Fields.has("max_body_bytes"))
-    Limits.MaxBodyBytes = Fields.number("max_body_bytes");
-  if (Fields.has("header_timeout_us"))
-    Limits.HeaderTimeout = Fields.duration("header_timeout_us");
-  if (Fields.has("idle_timeout_us"))
-    Limits.IdleTimeout = Fields.duration("idle_timeout_us");
+  readIfPresent(Fields, "max_header_bytes", &JsonFields::number,
+                Limits.MaxHeaderBytes);
+  readIfPresent(Fields, "max_body_bytes", &JsonFields::number,
+                Limits.MaxBodyBytes);
+  readIfPresent(Fields, "header_timeout_us", &JsonFields::duration,
+                Limits.HeaderTimeout);
+  readIfPresent(Fields, "idle_timeout_us", &JsonFields::duration,
+                Limits.IdleTimeout);
   if (!Fields.good())
     return Fields.failure();
   return Limits;
--- a/src/libcontrol/controlservice.cpp
+++ b/src/libcontrol/controlservice.cpp
@@ -1,5 +1,6 @@
 #include "libcontrol/controlservice.h"
 
+#include "libconfig/configurationcheck.h"
 #include "libconfig/configurationreader.h"
 #include "libcontrol/orderzone.h"
 #include "libcore/log.h"
@@ -143,18 +144,26 @@
     return OnDone(
         {readConfiguration(Yaml, SubmittedFile, this->Hooks.Wall()).All,
          std::nullopt, std::nullopt});
-  this->submit(std::move(*Read.Set), std::move(OnDone));
+  this->submitCommand(*Command, std::move(OnDone));
 }
 
 void ControlService::submit(ConfigurationSet Set,
                             std::function<void(SubmitAnswer)> OnDone) {
+  Findings Problems = checkConfiguration(Set);
+  if (!Problems.empty())
+    return OnDone({std::move(Problems), std::nullopt, std::nullopt});
+  auto Command = ApplyConfiguration::create(std::move(Set), this->Hooks.Wall());
+  this->submitCommand(*Command, std::move(OnDone));
+}
+
+void ControlService::submitCommand(const ApplyConfiguration &Command,
+                                   std::function<void(SubmitAnswer)> OnDone) {
   if (!this->isLeader())
     return OnDone(
         {{}, std::nullopt, Error{ErrorCode::Refused, "not the leader"}});
-  auto Command = ApplyConfiguration::create(std::move(Set), this->Hooks.Wall());
   // What is decided by the applied records is answered only when this replica
   // still leads; a deposed leader may lack later records.
-  if (auto Decided = Command->decidedAlready(this->State.data()))
+  if (auto Decided = Command.decidedAlready(this->State.data()))
     return this->confirmRead(
         [OnDone = std::move(OnDone), Decided](Result<void> Confirmed) {
           if (Confirmed)
@@ -171,7 +180,7 @@
             std::nullopt,
             Error{ErrorCode::Unavailable, "the outcome is not known here"}});
   };
-  this->Replica->propose(ControlState::encode(Command->toJson()),
+  this->Replica->propose(ControlState::encode(Command.toJson()),
                          std::move(Done));
   this->workPending();
 }
@@ -195,6 +204,9 @@
 }
 
 void ControlService::orderMove(const MoveOrder &Order, Done OnDone) {
+  // What a follower has applied may be too old to answer from.
+  if (!this->isLeader())
+    return OnDone(fail(ErrorCode::Refused, "not the leader"));
   if (StartMove::decidedAlready(this->State.data(), Order))
     return this->confirmRead(std::move(OnDone));
   if (!this->State.data().Services.contains(Order.Service))
--- a/src/libcontrol/controlservice.h
+++ b/src/libcontrol/controlservice.h
@@ -52,7 +52,7 @@
   // Commands.
   void submit(const std::string &Yaml,
               std::function<void(SubmitAnswer)> OnDone);
-  /// The same for a set that was read and checked elsewhere.
+  /// The same for a set that was not read from YAML; it is checked here.
   void submit(ConfigurationSet Set, std::function<void(SubmitAnswer)> OnDone);
   using Done = std::function<void(Result<void>)>;
   /// Takes a zone out of service or brings it back. Fails with Refused (not
@@ -99,6 +99,8 @@
   void publishMembers(Urgency How);
   void decideMoves();
   void publishState();
+  void submitCommand(const ApplyConfiguration &Command,
+                     std::function<void(SubmitAnswer)> OnDone);
   void propose(std::string Payload);
   void proposeOrder(const Json &Command, Done OnDone);
   /// The version with most upstreams, other than \a Except; may be empty.
--- a/src/libpolicy/admissiongate.cpp
+++ b/src/libpolicy/admissiongate.cpp
@@ -121,8 +121,7 @@
 }
 
 Duration AdmissionControl::Impl::waitFor(const AdmissionQueue::Waiting &Call,
-                                         Instant Now) const {
-  Duration Turn = this->Times.mean() / this->limit(Now);
+                                         Duration Turn) const {
   std::uint32_t Ahead = this->Queue.ahead(Call);
   // A route that is behind gets every second turn at least.
   const auto &Waiting = this->Queue.calls();
@@ -153,7 +152,7 @@
     Decision.RetryAfter = Turn * (this->Queue.size() + 1);
     return Decision;
   }
-  Duration Wait = this->waitFor(Call, Now);
+  Duration Wait = this->waitFor(Call, Turn);
   if (Call.Deadline <= Now + Wait + this->needed(Call, Now)) {
     Decision.Reason = RefusalReason::DeadlineTooShort;
     Decision.RetryAfter = Wait;
--- a/src/libpolicy/admissiongate.h
+++ b/src/libpolicy/admissiongate.h
@@ -56,8 +56,9 @@
   /// Time that the call needs at the upstream, so that starting it later than
   /// that before its deadline would be in vain.
   Duration needed(const AdmissionQueue::Waiting &Call, Instant Now) const;
-  /// Estimated time until a call that is added now would start.
-  Duration waitFor(const AdmissionQueue::Waiting &Call, Instant Now) const;
+  /// Estimated time until a call that is added now would start. \a Turn is the
+  /// mean time between two starts.
+  Duration waitFor(const AdmissionQueue::Waiting &Call, Duration Turn) const;
   AdmissionDecision enqueue(AdmissionQueue::Waiting Call, Instant Now,
                             AdmissionActions &Actions);
   void startWaiting(Instant Now, AdmissionActions &Actions);
--- a/src/libproxy/attemptresult.cpp
+++ b/src/libproxy/attemptresult.cpp
@@ -17,6 +17,12 @@
   return std::find(All.begin(), All.end(), Reason) != All.end();
 }
 
+bool isRefusedByGate(const AttemptFailure &Failure) {
+  return Failure.Known == Outcome::NotRun &&
+         Failure.Reason != reason::UpstreamRefused &&
+         Failure.Reason != reason::UpstreamReplaced;
+}
+
 AttemptResult resultOf(const AttemptFailure &Failure) {
   if (Failure.Refused)
     return AttemptResult::ConnectRefused;
--- a/src/libproxy/attemptresult.h
+++ b/src/libproxy/attemptresult.h
@@ -12,6 +12,9 @@
 /// True for the reason of a gate that has no room for the call now.
 bool isFull(const std::string &Reason);
 
+/// The attempt ended at the gate and no byte of it reached an upstream.
+bool isRefusedByGate(const AttemptFailure &Failure);
+
 /// What the failure says about the upstream, for the upstream choice.
 AttemptResult resultOf(const AttemptFailure &Failure);
 
--- a/src/libproxy/entrycall.cpp
+++ b/src/libproxy/entrycall.cpp
@@ -8,12 +8,6 @@
 constexpr int Unavailable = 503;
 constexpr int GatewayTimeout = 504;
 constexpr int FirstServerError = 500;
-/// The attempt ended at the gate and no byte of it reached an upstream.
-bool refusedByGate(const AttemptFailure &Failure) {
-  return Failure.Known == Outcome::NotRun &&
-         Failure.Reason != reason::UpstreamRefused &&
-         Failure.Reason != reason::UpstreamReplaced;
-}
 
 } // namespace
 
@@ -286,7 +280,7 @@
     this->MayHaveRun = true;
   else
     this->NotRunId = this->Id;
-  if (refusedByGate(Failure)) {
+  if (isRefusedByGate(Failure)) {
     --this->Arrivals;
     ++this->GateRefusals;
   }
@@ -328,7 +322,7 @@
   Question.Attempts = this->Arrivals;
   if (this->Route.Attempts > 0)
     Question.MostAttempts = this->Route.Attempts;
-  Question.RefusedByGate = refusedByGate(Failure);
+  Question.RefusedByGate = isRefusedByGate(Failure);
   Question.GateRefusals = this->GateRefusals;
   // A full gate stays full for the moment, so asking it again is in vain.
   Question.OthersLeft =
--- a/src/libproxy/execution.cpp
+++ b/src/libproxy/execution.cpp
@@ -1,6 +1,5 @@
 #include "libproxy/execution.h"
 #include "libpolicy/deadline.h"
-#include <algorithm>
 
 namespace amaranthward {
 
@@ -50,93 +49,6 @@
   this->addWaiter(std::move(First), true);
 }
 
-void Execution::attach(std::shared_ptr<ServerExchange> Later) {
-  if (this->Phase == State::Finished) {
-    this->replay(Later);
-    return;
-  }
-  if (!this->RequestComplete) {
-    // The rest of the request can only come over the earlier connection,
-    // which the sender has given up.
-    this->cancel(BadGateway, "request-incomplete");
-    this->replay(Later);
-    return;
-  }
-  if (this->Released && !this->Kept) {
-    respond(*Later, BadGateway, "text/plain", "",
-            outcomeFields(Outcome::Unknown, "response-not-kept"));
-    return;
-  }
-  this->Loop.cancel(this->GraceTimer);
-  Later->sendInterim(102);
-  this->addWaiter(std::move(Later), false);
-}
-
-void Execution::addWaiter(std::shared_ptr<ServerExchange> Exchange,
-                          bool Source) {
-  std::weak_ptr<Execution> Self = this->weak_from_this();
-  const ServerExchange *Key = Exchange.get();
-  this->Waiters.push_back({Exchange});
-  if (this->Released) {
-    this->sendHeadTo(this->Waiters.back());
-    this->sendTo(this->Waiters.back(), this->Body);
-  }
-  ServerExchange::Hooks Hooks;
-  Hooks.OnAborted = [Self, Key, Source] {
-    if (auto Kept = Self.lock())
-      Kept->waiterGone(Key, Source);
-  };
-  Hooks.OnDrained = [Self, Key] {
-    if (auto Kept = Self.lock())
-      Kept->waiterDrained(Key);
-  };
-  if (Source) {
-    Hooks.OnBody = [Self](std::string_view Data) {
-      if (auto Kept = Self.lock())
-        Kept->onRequestBody(Data);
-    };
-    Hooks.OnBodyEnd = [Self] {
-      if (auto Kept = Self.lock())
-        Kept->onRequestEnd();
-    };
-  }
-  Exchange->setHooks(std::move(Hooks));
-}
-
-void Execution::waiterGone(const ServerExchange *Gone, bool WasSource) {
-  auto Self = this->shared_from_this();
-  std::erase_if(this->Waiters, [Gone](const Waiter &Each) {
-    return Each.Exchange.get() == Gone;
-  });
-  if (this->Phase == State::Finished)
-    return;
-  if (WasSource && !this->RequestComplete) {
-    this->cancel(BadGateway, "request-incomplete");
-    return;
-  }
-  this->updateBackPressure();
-  // A keyed request runs to its end, because a resend may ask for its result.
-  if (!this->Waiters.empty() || this->Request.Keyed)
-    return;
-  if (this->Idempotent) {
-    this->cancel(BadGateway, "cancelled");
-    return;
-  }
-  std::weak_ptr<Execution> Weak = Self;
-  this->GraceTimer = this->Loop.after(AttachGrace, [Weak] {
-    auto Kept = Weak.lock();
-    if (Kept && Kept->Waiters.empty())
-      Kept->cancel(BadGateway, "cancelled");
-  });
-}
-
-void Execution::waiterDrained(const ServerExchange *Drained) {
-  for (Waiter &Each : this->Waiters)
-    if (Each.Exchange.get() == Drained)
-      Each.Blocked = false;
-  this->updateBackPressure();
-}
-
 HttpRequestHead Execution::upstreamHead(const UpstreamAnnouncement &To,
                                         Instant Now) {
   const HttpRequestHead &In = this->Source->request();
@@ -302,61 +214,6 @@
                                     : UpstreamResult::Cancelled);
 }
 
-void Execution::sendHeartbeats() {
-  for (const Waiter &Each : this->Waiters)
-    if (!Each.HeadSent)
-      Each.Exchange->sendInterim(102);
-}
-
-void Execution::dropResponse() {
-  this->Kept = false;
-  std::string().swap(this->Body);
-}
-
-void Execution::release() {
-  this->Released = true;
-  for (Waiter &Each : this->Waiters) {
-    this->sendHeadTo(Each);
-    this->sendTo(Each, this->Body);
-  }
-}
-
-void Execution::sendHeadTo(Waiter &One) {
-  One.HeadSent = true;
-  One.Exchange->sendHead(this->Head);
-}
-
-void Execution::sendTo(Waiter &One, std::string_view Data) {
-  if (!One.Exchange->sendBody(Data))
-    One.Blocked = true;
-}
-
-void Execution::updateBackPressure() {
-  if (!this->Upstream || this->Phase != State::Running)
-    return;
-  // With several waiters a slow one would hold up the others.
-  if (this->Waiters.size() > 1) {
-    auto Blocked =
-        std::stable_partition(this->Waiters.begin(), this->Waiters.end(),
-                              [](const Waiter &Each) { return !Each.Blocked; });
-    std::vector<Waiter> Slow(std::make_move_iterator(Blocked),
-                             std::make_move_iterator(this->Waiters.end()));
-    this->Waiters.erase(Blocked, this->Waiters.end());
-    if (this->Waiters.empty() && !Slow.empty()) {
-      this->Waiters.push_back(std::move(Slow.back()));
-      Slow.pop_back();
-    }
-    for (const Waiter &Each : Slow)
-      Each.Exchange->abort();
-  }
-  bool Blocked = std::any_of(this->Waiters.begin(), this->Waiters.end(),
-                             [](const Waiter &Each) { return Each.Blocked; });
-  if (Blocked)
-    this->Upstream->pauseBody();
-  else
-    this->Upstream->resumeBody();
-}
-
 void Execution::finish(Outcome Ended, int Status, const std::string &Reason,
                        UpstreamResult Result) {
   this->Phase = State::Finished;
@@ -382,25 +239,4 @@
     Done(*this, Result, this->UpstreamTime);
 }
 
-void Execution::answerFailure(ServerExchange &Exchange) {
-  HttpHeaders Extra = outcomeFields(this->Known, this->FailureReason);
-  Extra.add(header::Load, this->Callbacks.Load());
-  respond(Exchange, this->FailureStatus, "text/plain", "", std::move(Extra));
-}
-
-void Execution::replay(const std::shared_ptr<ServerExchange> &Exchange) {
-  if (this->Known != Outcome::Answered) {
-    this->answerFailure(*Exchange);
-    return;
-  }
-  if (!this->Kept) {
-    respond(*Exchange, BadGateway, "text/plain", "",
-            outcomeFields(Outcome::Unknown, "response-not-kept"));
-    return;
-  }
-  Exchange->sendHead(this->Head);
-  Exchange->sendBody(this->Body);
-  Exchange->finish();
-}
-
 } // namespace amaranthward
--- a/src/libproxy/gaterole.cpp
+++ b/src/libproxy/gaterole.cpp
@@ -138,8 +138,7 @@
   const ServiceName &Service = this->Current->Service;
   if (this->State.View->isBad(Service, Version))
     return true;
-  const ServiceSpec *Spec = this->State.View->service(Service);
-  if (Spec && Spec->Versions.empty() &&
+  if (this->State.View->hasAnnouncedVersions(Service) &&
       this->State.View->split(Service).empty())
     return false;
   // The baseline of an open move takes retries even at a share of 0.
@@ -154,9 +153,7 @@
 void GateRole::admit(ForwardedRequest Request,
                      std::shared_ptr<ServerExchange> Exchange) {
   if (std::string Reason = this->refusal(Request); !Reason.empty()) {
-    ++this->Refusals[Reason];
-    this->logRefusal(Request, Exchange->request().Headers, Reason);
-    this->refuse(*Exchange, Unavailable, Outcome::NotRun, Reason);
+    this->turnAway(Request, *Exchange, Reason);
     return;
   }
   const RouteSpec *Route =
@@ -176,11 +173,7 @@
   }
   AdmissionDecision Decision = this->Admission->request(Wanted, Now, Actions);
   if (Decision.Verdict == AdmissionVerdict::Refuse) {
-    ++this->Refusals[toString(Decision.Reason)];
-    this->logRefusal(Request, Exchange->request().Headers,
-                     toString(Decision.Reason));
-    this->refuse(*Exchange, Unavailable, Outcome::NotRun,
-                 toString(Decision.Reason));
+    this->turnAway(Request, *Exchange, toString(Decision.Reason));
   } else {
     Execution::Hooks Callbacks;
     Callbacks.OnFinished = [this](Execution &Ended, UpstreamResult Result,
@@ -208,6 +201,13 @@
   this->scheduleWake();
 }
 
+void GateRole::turnAway(const ForwardedRequest &Request,
+                        ServerExchange &Exchange, const std::string &Reason) {
+  ++this->Refusals[Reason];
+  this->logRefusal(Request, Exchange.request().Headers, Reason);
+  this->refuse(Exchange, Unavailable, Outcome::NotRun, Reason);
+}
+
 void GateRole::refuse(ServerExchange &Exchange, int Status, Outcome Known,
                       const std::string &Reason) const {
   HttpHeaders Extra = outcomeFields(Known, Reason);
--- a/src/libproxy/gaterole.h
+++ b/src/libproxy/gaterole.h
@@ -77,6 +77,9 @@
   std::string refusal(const ForwardedRequest &Request) const;
   bool versionOut(const VersionName &Version) const;
   bool isLate(const UpstreamAnnouncement &Said) const;
+  /// Refuses a request on arrival: counted, logged and answered "not run".
+  void turnAway(const ForwardedRequest &Request, ServerExchange &Exchange,
+                const std::string &Reason);
   void refuse(ServerExchange &Exchange, int Status, Outcome Known,
               const std::string &Reason) const;
   void onFinished(Execution &Ended, UpstreamResult Result,
--- a/src/libproxy/upstreamdirectory.cpp
+++ b/src/libproxy/upstreamdirectory.cpp
@@ -22,9 +22,7 @@
     UpstreamCandidate One{Each.Node,   Each.Start, Each.Zone,
                           Each.Region, Each.Slots, Each.Leaving};
     Grouped[{Each.Service, Each.Version}].push_back(One);
-    const ServiceSpec *Spec =
-        State.View ? State.View->service(Each.Service) : nullptr;
-    if (Spec && Spec->Versions.empty() &&
+    if (State.View && State.View->hasAnnouncedVersions(Each.Service) &&
         !State.View->isBad(Each.Service, Each.Version))
       Grouped[{Each.Service, AnyVersion}].push_back(One);
   }
--- a/src/libproxy/versiondraw.cpp
+++ b/src/libproxy/versiondraw.cpp
@@ -61,8 +61,7 @@
                                       const ServiceName &Service,
                                       const ShareLimits &Limits,
                                       std::uint64_t Random) {
-  const ServiceSpec *Spec = View.service(Service);
-  if (Spec && Spec->Versions.empty() && View.split(Service).empty())
+  if (View.hasAnnouncedVersions(Service) && View.split(Service).empty())
     return {AnyVersion};
   std::vector<Weight> All = weightsOf(View, Service, Limits);
   VersionName Candidate = candidateOf(View, Service);
--- a/tests/libnet/test_pipelining.cpp
+++ b/tests/libnet/test_pipelining.cpp
@@ -19,6 +19,24 @@
   }
 };
 
+/// Sends \a Requests on one connection, runs \a Answer once when \a Count of
+/// them wait, and returns what came back.
+std::string
+exchange(NetFixture &Net, const Waiting &Calls, std::size_t Count,
+         const std::string &Requests, const std::function<void()> &Answer,
+         std::function<bool(const std::string &)> Enough = nullptr) {
+  bool Answered = false;
+  auto Timer = Net.Loop->every(std::chrono::milliseconds(1), [&] {
+    if (Answered || Calls.All.size() < Count)
+      return;
+    Answered = true;
+    Answer();
+  });
+  std::string All = Net.exchangeRaw({Requests}, std::move(Enough));
+  Net.Loop->cancel(Timer);
+  return All;
+}
+
 std::string get(const std::string &Path, const std::string &More = "") {
   return "GET " + Path + " HTTP/1.1\r\nHost: a\r\n" + More + "\r\n";
 }
@@ -35,18 +53,14 @@
   NetFixture Net;
   Waiting Calls;
   Net.serve(Calls.handler());
-  auto Answer = Net.Loop->every(std::chrono::milliseconds(1), [&] {
-    if (Calls.All.size() < 3)
-      return;
-    for (std::size_t I : {2, 0, 1})
-      respond(*Calls.All[I], 200, "text/plain",
-              "body of " + Calls.All[I]->request().Target);
-    Calls.All.clear();
-  });
-  std::string All = Net.exchangeRaw(
-      {get("/1") + get("/2") + get("/3")},
+  std::string All = exchange(
+      Net, Calls, 3, get("/1") + get("/2") + get("/3"),
+      [&] {
+        for (std::size_t I : {2, 0, 1})
+          respond(*Calls.All[I], 200, "text/plain",
+                  "body of " + Calls.All[I]->request().Target);
+      },
       [](const std::string &Text) { return holds(Text, "body of /3"); });
-  Net.Loop->cancel(Answer);
   std::size_t First = All.find("body of /1");
   std::size_t Second = All.find("body of /2");
   REQUIRE(First != std::string::npos);
@@ -79,16 +93,12 @@
   NetFixture Net;
   Waiting Calls;
   Net.serve(Calls.handler());
-  auto Answer = Net.Loop->every(std::chrono::milliseconds(1), [&] {
-    if (Calls.All.size() < 2)
-      return;
+  std::string All = exchange(Net, Calls, 2, get("/1") + get("/2"), [&] {
     HttpHeaders Close;
     Close.add("Connection", "close");
     respond(*Calls.All[0], 200, "text/plain", "first", Close);
     respond(*Calls.All[1], 200, "text/plain", "second");
   });
-  std::string All = Net.exchangeRaw({get("/1") + get("/2")});
-  Net.Loop->cancel(Answer);
   CHECK(holds(All, "first"));
   CHECK_FALSE(holds(All, "second"));
   CHECK(Calls.Aborted == 1);
@@ -99,15 +109,12 @@
   NetFixture Net;
   Waiting Calls;
   Net.serve(Calls.handler());
-  auto Answer = Net.Loop->every(std::chrono::milliseconds(1), [&] {
-    if (Calls.All.size() < 3)
-      return;
+  std::string Requests = get("/1") + get("/2") + get("/3");
+  std::string All = exchange(Net, Calls, 3, Requests, [&] {
     Calls.All[1]->abort();
     respond(*Calls.All[2], 200, "text/plain", "third");
     respond(*Calls.All[0], 200, "text/plain", "first");
   });
-  std::string All = Net.exchangeRaw({get("/1") + get("/2") + get("/3")});
-  Net.Loop->cancel(Answer);
   CHECK(holds(All, "first"));
   CHECK_FALSE(holds(All, "third"));
 }
