--- a/src/amaranthward/controlprocess.cpp
+++ b/src/amaranthward/controlprocess.cpp
@@ -11,6 +11,7 @@
 /// the replica is.
 std::vector<ReplicaName> namesOf(const std::vector<Endpoint> &Seeds) {
   std::vector<ReplicaName> Names;
+  Names.reserve(Seeds.size());
   for (const Endpoint &Seed : Seeds)
     Names.emplace_back(Seed.str());
   return Names;
@@ -45,7 +46,9 @@
 }
 
 Result<void> ControlProcess::start() {
-  auto ClientMade = HttpClient::create(this->Loop, {});
+  HttpClientLimits MeshLimits;
+  MeshLimits.ConnectTimeout = MeshConnectTimeout;
+  auto ClientMade = HttpClient::create(this->Loop, MeshLimits);
   if (!ClientMade)
     return tl::make_unexpected(ClientMade.error());
   this->Client = std::move(*ClientMade);
