Start calls at cold upstreams when the gate knows them; refuse hopeless calls early

Tests: three, of which the ones on the late limits and on the hopeless call fail without the change.

--- a/src/libpolicy/admissioncontrol.cpp
+++ b/src/libpolicy/admissioncontrol.cpp
@@ -28,14 +28,15 @@
 AdmissionControl::~AdmissionControl() = default;
 
 Result<AdmissionControl>
-AdmissionControl::create(const AdmissionSettings &Settings, Instant Now) {
+AdmissionControl::create(const AdmissionSettings &Settings,
+                         Instant KnownSince) {
   if (Settings.Slots == 0)
     return fail(ErrorCode::InvalidArgument,
                 "admission control needs at least one slot");
   if (Settings.WarmUp < Duration::zero())
     return fail(ErrorCode::InvalidArgument,
                 "the warm-up time must not be negative");
-  return AdmissionControl(std::make_unique<Impl>(Settings, Now));
+  return AdmissionControl(std::make_unique<Impl>(Settings, KnownSince));
 }
 
 AdmissionDecision AdmissionControl::request(const AdmissionRequest &Call,
--- a/src/libpolicy/admissioncontrol.h
+++ b/src/libpolicy/admissioncontrol.h
@@ -112,8 +112,10 @@
 public:
   /// Fails with InvalidArgument when there are no slots or the warm-up time is
   /// negative. The upstream counts as cold.
+  /// \param KnownSince from when on the caller knows all calls that the
+  /// upstream got: the second before counts against the bound of a cold one.
   static Result<AdmissionControl> create(const AdmissionSettings &Settings,
-                                         Instant Now = Instant());
+                                         Instant KnownSince = Instant());
 
   AdmissionControl(AdmissionControl &&) noexcept;
   AdmissionControl &operator=(AdmissionControl &&) noexcept;
@@ -134,8 +136,8 @@
   /// The caller of a queued call went away.
   void cancelQueued(AdmissionTicket Ticket);
 
-  /// Refuses queued calls whose deadline has come and starts calls for which
-  /// there is room. Due at nextWake() at the latest.
+  /// Refuses queued calls that can no longer end before their deadline and
+  /// starts calls for which there is room. Due at nextWake() at the latest.
   AdmissionActions advance(Instant Now);
   std::optional<Instant> nextWake() const;
 
--- a/src/libpolicy/admissiongate.cpp
+++ b/src/libpolicy/admissiongate.cpp
@@ -32,10 +32,11 @@
 
 } // namespace
 
-AdmissionControl::Impl::Impl(const AdmissionSettings &Settings, Instant Now)
+AdmissionControl::Impl::Impl(const AdmissionSettings &Settings,
+                             Instant KnownSince)
     : Settings(Settings), Baseline(Settings.Slots),
       Ramp(Settings.Slots, Settings.WarmUp, Instant()),
-      Adaptive(Settings.Slots), Cold(Now) {}
+      Adaptive(Settings.Slots), Cold(KnownSince) {}
 
 std::uint32_t AdmissionControl::Impl::routeIndex(const RouteName &Route) {
   auto Found = this->RouteNumbers.find(Route);
@@ -88,7 +89,7 @@
   if (!this->ColdSince)
     this->becomeCold(Now);
   this->watch(Now, Actions);
-  this->refuseExpired(Now, Actions);
+  this->refuseHopeless(Now, Actions);
   AdmissionDecision Decision;
   if (this->LeavingSince) {
     Decision.Reason = RefusalReason::Leaving;
@@ -120,6 +121,12 @@
                              : this->Times.least(Call.Route, Now);
 }
 
+AdmissionQueue::NeededTime AdmissionControl::Impl::neededAt(Instant Now) const {
+  return [this, Now](const AdmissionQueue::Waiting &One) {
+    return this->needed(One, Now);
+  };
+}
+
 Duration AdmissionControl::Impl::waitFor(const AdmissionQueue::Waiting &Call,
                                          Duration Turn) const {
   std::uint32_t Ahead = this->Queue.ahead(Call);
@@ -187,9 +194,7 @@
 
 void AdmissionControl::Impl::startWaiting(Instant Now,
                                           AdmissionActions &Actions) {
-  auto Needed = [this, Now](const AdmissionQueue::Waiting &One) {
-    return this->needed(One, Now);
-  };
+  AdmissionQueue::NeededTime Needed = this->neededAt(Now);
   // Classes are in order of their caps, so when the first call may not start,
   // none may.
   while (auto Next = this->Queue.next(Now, Needed, this->Shares)) {
@@ -207,11 +212,12 @@
   }
 }
 
-void AdmissionControl::Impl::refuseExpired(Instant Now,
-                                           AdmissionActions &Actions) {
-  while (auto Expired = this->Queue.takeExpired(Now))
+void AdmissionControl::Impl::refuseHopeless(Instant Now,
+                                            AdmissionActions &Actions) {
+  this->LastCheck = Now;
+  while (auto Hopeless = this->Queue.takeHopeless(Now, this->neededAt(Now)))
     Actions.Refused.push_back(
-        {Expired->Ticket, RefusalReason::DeadlineTooShort});
+        {Hopeless->Ticket, RefusalReason::DeadlineTooShort});
   if (!this->LeavingSince || Now - *this->LeavingSince < LeavingGrace)
     return;
   while (auto Last = this->Queue.takeLast())
@@ -244,14 +250,15 @@
 AdmissionActions AdmissionControl::Impl::advance(Instant Now) {
   AdmissionActions Actions;
   this->watch(Now, Actions);
-  this->refuseExpired(Now, Actions);
+  this->refuseHopeless(Now, Actions);
   this->startWaiting(Now, Actions);
   this->ColdStartAt = this->Cold.nextStart(Now);
   return Actions;
 }
 
 std::optional<Instant> AdmissionControl::Impl::nextWake() const {
-  std::optional<Instant> Wake = this->Queue.earliestDeadline();
+  std::optional<Instant> Wake =
+      this->Queue.nextHopeless(this->neededAt(this->LastCheck));
   if (Wake && this->LeavingSince)
     Wake = std::min(*Wake, *this->LeavingSince + LeavingGrace);
   if (Wake && this->ColdStartAt)
--- a/src/libpolicy/admissiongate.h
+++ b/src/libpolicy/admissiongate.h
@@ -17,7 +17,7 @@
 /// Body of AdmissionControl; see there for the contract of each method.
 class AdmissionControl::Impl {
 public:
-  Impl(const AdmissionSettings &Settings, Instant Now);
+  Impl(const AdmissionSettings &Settings, Instant KnownSince);
 
   AdmissionDecision request(const AdmissionRequest &Call, Instant Now,
                             AdmissionActions &Actions);
@@ -56,13 +56,14 @@
   /// Time that the call needs at the upstream, so that starting it later than
   /// that before its deadline would be in vain.
   Duration needed(const AdmissionQueue::Waiting &Call, Instant Now) const;
+  AdmissionQueue::NeededTime neededAt(Instant Now) const;
   /// Estimated time until a call that is added now would start. \a Turn is the
   /// mean time between two starts.
   Duration waitFor(const AdmissionQueue::Waiting &Call, Duration Turn) const;
   AdmissionDecision enqueue(AdmissionQueue::Waiting Call, Instant Now,
                             AdmissionActions &Actions);
   void startWaiting(Instant Now, AdmissionActions &Actions);
-  void refuseExpired(Instant Now, AdmissionActions &Actions);
+  void refuseHopeless(Instant Now, AdmissionActions &Actions);
   /// Lowers the limit when calls show that the upstream is cold.
   void watch(Instant Now, AdmissionActions &Actions);
   void cancelExcess(Instant Now, AdmissionActions &Actions);
@@ -93,6 +94,8 @@
   std::optional<Instant> ColdSince;
   double LoadHint = 0;
   Instant LoadHintAt;
+  /// When hopeless calls were last looked for.
+  Instant LastCheck;
   /// When a waiting call may start at a cold upstream.
   std::optional<Instant> ColdStartAt;
 };
--- a/src/libpolicy/admissionqueue.cpp
+++ b/src/libpolicy/admissionqueue.cpp
@@ -49,10 +49,10 @@
 }
 
 std::optional<AdmissionQueue::Waiting>
-AdmissionQueue::takeExpired(Instant Until) {
+AdmissionQueue::takeHopeless(Instant Now, const NeededTime &Needed) {
   auto Found = std::find_if(
       this->Calls.begin(), this->Calls.end(),
-      [Until](const Waiting &One) { return One.Deadline <= Until; });
+      [&](const Waiting &One) { return One.Deadline <= Now + Needed(One); });
   if (Found == this->Calls.end())
     return std::nullopt;
   Waiting Taken = *Found;
@@ -101,14 +101,14 @@
   return Taken;
 }
 
-std::optional<Instant> AdmissionQueue::earliestDeadline() const {
-  auto Earliest = std::min_element(this->Calls.begin(), this->Calls.end(),
-                                   [](const Waiting &L, const Waiting &R) {
-                                     return L.Deadline < R.Deadline;
-                                   });
-  if (Earliest == this->Calls.end())
-    return std::nullopt;
-  return Earliest->Deadline;
+std::optional<Instant>
+AdmissionQueue::nextHopeless(const NeededTime &Needed) const {
+  std::optional<Instant> Next;
+  for (const Waiting &One : this->Calls) {
+    Instant At = One.Deadline - Needed(One);
+    Next = std::min(Next.value_or(At), At);
+  }
+  return Next;
 }
 
 std::uint32_t AdmissionQueue::ahead(const Waiting &One) const {
--- a/src/libpolicy/admissionqueue.h
+++ b/src/libpolicy/admissionqueue.h
@@ -47,11 +47,13 @@
   std::optional<Waiting> add(const Waiting &One);
   /// The removed call; none when it does not wait.
   std::optional<Waiting> remove(AdmissionTicket Ticket);
-  /// Removes and returns one call whose deadline is at or before \a Until.
-  std::optional<Waiting> takeExpired(Instant Until);
+  /// Removes and returns one call that would end after its deadline if it
+  /// started now.
+  std::optional<Waiting> takeHopeless(Instant Now, const NeededTime &Needed);
   /// Removes and returns the last call of the lowest class.
   std::optional<Waiting> takeLast();
-  std::optional<Instant> earliestDeadline() const;
+  /// When the first waiting call becomes hopeless.
+  std::optional<Instant> nextHopeless(const NeededTime &Needed) const;
 
   /// The call to start next, or none. In the first class and rank that has
   /// calls, a route that got clearly less than another goes first. Within a
--- a/src/libpolicy/coldrate.cpp
+++ b/src/libpolicy/coldrate.cpp
@@ -32,7 +32,7 @@
 std::optional<Instant> ColdRate::nextStart(Instant Now) const {
   if (this->Bound == 0 || !this->isCold(Now))
     return std::nullopt;
-  Instant Free = this->Created + Window;
+  Instant Free = this->KnownSince + Window;
   // The call that must have left the window before the next one starts.
   if (this->Recent.size() >= this->Bound)
     Free = std::max(Free,
--- a/src/libpolicy/coldrate.h
+++ b/src/libpolicy/coldrate.h
@@ -12,9 +12,9 @@
 /// For upstreams that declare how long they are cold and what they can take.
 class ColdRate {
 public:
-  /// \param Now start of the gate: what an earlier process sent in the second
-  /// before is unknown and counts as the whole bound.
-  explicit ColdRate(Instant Now) : Created(Now) {}
+  /// \param KnownSince what was sent in the second before is unknown and counts
+  /// as the whole bound.
+  explicit ColdRate(Instant KnownSince) : KnownSince(KnownSince) {}
 
   /// The upstream is cold for \a For from now, zero when it is warm, and then
   /// takes \a CallsPerSecond; 0 for no bound.
@@ -29,7 +29,7 @@
 
 private:
   std::uint32_t Bound = 0;
-  Instant Created;
+  Instant KnownSince;
   Instant ColdUntil;
   /// Starts of the last second, oldest first.
   std::deque<Instant> Recent;
--- a/src/libproxy/gaterole.cpp
+++ b/src/libproxy/gaterole.cpp
@@ -12,7 +12,7 @@
 GateRole::GateRole(EventLoop &Loop, HttpClient &Client, GateOptions Options,
                    GateHooks Hooks)
     : Loop(Loop), Client(Client), Options(std::move(Options)),
-      Hooks(std::move(Hooks)) {
+      Hooks(std::move(Hooks)), Created(Loop.now()) {
   this->Ticker = Loop.every(this->Options.Heartbeat, [this] { this->tick(); });
 }
 
@@ -60,7 +60,7 @@
                  Wanted.WarmUp != this->Limits.WarmUp;
   if (Changed &&
       this->Admission->status(this->Loop.now()).Phase == WarmthPhase::Cold) {
-    this->createAdmission();
+    this->createAdmission(this->LastStart.value_or(this->Created));
     this->informAdmission();
     if (Out || this->Current->Leaving)
       this->Admission->leave(this->Loop.now());
@@ -193,7 +193,7 @@
     ++this->Admitted;
     Made->begin(std::move(Exchange));
     if (Decision.Verdict == AdmissionVerdict::Admit)
-      Made->start(*this->Current);
+      this->startExecution(*Made);
     else
       ++this->Waited;
   }
@@ -248,7 +248,7 @@
   for (AdmissionTicket Each : Actions.Start) {
     auto Waiting = Take(Each);
     if (Waiting && this->Current)
-      Waiting->start(*this->Current);
+      this->startExecution(*Waiting);
     else if (this->Admission)
       this->Admission->complete(Each, UpstreamResult::Cancelled, std::nullopt,
                                 this->Loop.now());
@@ -263,6 +263,11 @@
       Running->cancel(Unavailable, "cold");
 }
 
+void GateRole::startExecution(Execution &Admitted) {
+  this->LastStart = this->Loop.now();
+  Admitted.start(*this->Current);
+}
+
 void GateRole::scheduleWake() {
   this->Loop.cancel(this->Wake);
   std::optional<Instant> Next =
--- a/src/libproxy/gaterole.h
+++ b/src/libproxy/gaterole.h
@@ -85,9 +85,12 @@
   void onFinished(Execution &Ended, UpstreamResult Result,
                   std::optional<Duration> UpstreamTime);
   void apply(const AdmissionActions &Actions);
+  void startExecution(Execution &Admitted);
   void scheduleWake();
   AdmissionSettings admissionSettings() const;
-  void createAdmission();
+  /// \param KnownSince from when on this process knows all calls that the
+  /// upstream got.
+  void createAdmission(Instant KnownSince);
   /// Tells the admission control which routes lead to the upstream and what
   /// the upstream says of its warmth.
   void informAdmission();
@@ -117,6 +120,10 @@
   Instant LastAnnounced;
   std::optional<AdmissionControl> Admission;
   AdmissionSettings Limits;
+  /// When this object was made; what an earlier process sent is unknown.
+  Instant Created;
+  /// The last start of a call at the present upstream.
+  std::optional<Instant> LastStart;
   std::map<RequestId, std::shared_ptr<Execution>> UnderWay;
   /// Requests known to the current admission control.
   std::map<AdmissionTicket, std::shared_ptr<Execution>> Tickets;
--- a/src/libproxy/gateroleupstream.cpp
+++ b/src/libproxy/gateroleupstream.cpp
@@ -20,8 +20,10 @@
   bool Same = !Replaced && WasLeaving == Upstream.Leaving &&
               this->Current->Connections == Upstream.Connections;
   this->Current = this->Newest = Upstream;
-  if (Replaced)
-    this->createAdmission();
+  if (Replaced) {
+    this->LastStart.reset();
+    this->createAdmission(this->Created);
+  }
   this->informAdmission();
   if (Same)
     return this->scheduleWake();
@@ -91,9 +93,9 @@
                                Service->Limits.ColdCallsPerSecond, Now);
 }
 
-void GateRole::createAdmission() {
+void GateRole::createAdmission(Instant KnownSince) {
   AdmissionSettings Settings = this->admissionSettings();
-  auto Made = AdmissionControl::create(Settings, this->Loop.now());
+  auto Made = AdmissionControl::create(Settings, KnownSince);
   if (!Made)
     return;
   // Waiting requests were admitted for the previous upstream.
--- a/tests/libpolicy/test_admissionorder.cpp
+++ b/tests/libpolicy/test_admissionorder.cpp
@@ -60,6 +60,23 @@
   CHECK(One.request(0, 50ms, 350ms).Verdict == AdmissionVerdict::Queue);
 }
 
+TEST_CASE("A waiting call is refused as soon as it cannot end in time") {
+  // Guards against calls that are told only at their deadline that they have
+  // not run, when their callers have no time left to come back.
+  Gate One;
+  auto Running = One.request(0, 1s, 5s);
+  REQUIRE(Running.Verdict == AdmissionVerdict::Admit);
+  auto Waiting = One.request(0, 200ms, 400ms);
+  REQUIRE(Waiting.Verdict == AdmissionVerdict::Queue);
+  Instant Hopeless = One.Now + 400ms - Work;
+  CHECK(One.Control->nextWake() == Hopeless);
+  CHECK(One.Control->advance(Hopeless - 1ms).Refused.empty());
+  auto Late = One.Control->advance(Hopeless);
+  REQUIRE(Late.Refused.size() == 1);
+  CHECK(Late.Refused[0].Ticket == Waiting.Ticket);
+  CHECK((Late.Refused[0].Reason == RefusalReason::DeadlineTooShort));
+}
+
 TEST_CASE("Without urgent routes every slot takes work") {
   // Guards against a slot that stays idle under full load: with 9 slots, one
   // in nine of what the upstream could do.
--- a/tests/libproxy/test_announcements.cpp
+++ b/tests/libproxy/test_announcements.cpp
@@ -16,8 +16,49 @@
   return Said;
 }
 
+/// An upstream that is cold for longer than a test takes.
+UpstreamAnnouncement coldStart(const GateNode &Node, std::uint64_t Start) {
+  UpstreamAnnouncement Said = startedAt(Node, Start);
+  Said.ColdFor = std::chrono::seconds(30);
+  return Said;
+}
+
 } // namespace
 
+TEST_CASE("Late limits do not hold a cold upstream up for another second") {
+  // Guards against a second without service after a restart of everything: the
+  // gate has sent nothing to the upstream while it waited for its limits.
+  MeshFixture Mesh;
+  Mesh.Configuration.Set.Services[0].Limits.ColdCallsPerSecond = 16;
+  GateNode &Node = Mesh.addGate("v1", answering("ok"));
+  Mesh.start();
+  Node.Gate->announce(coldStart(Node, 1000));
+  Mesh.runUntil([] { return false; }, std::chrono::milliseconds(1050));
+  Mesh.Configuration.Set.Services[0].Limits.Slots = 8;
+  Mesh.updateGates();
+  Instant Asked = Mesh.Loop->now();
+  CHECK(Mesh.callAndWait("GET", "/browse")->Status == 200);
+  CHECK(Mesh.Loop->now() - Asked < std::chrono::milliseconds(500));
+}
+
+TEST_CASE("Calls that a cold upstream got count when its limits change") {
+  // Guards against twice the bound in one second around a change of limits.
+  constexpr int Bound = 4;
+  MeshFixture Mesh;
+  Mesh.Configuration.Set.Services[0].Limits.ColdCallsPerSecond = Bound;
+  GateNode &Node = Mesh.addGate("v1", answering("ok"));
+  Mesh.start();
+  Node.Gate->announce(coldStart(Node, 1000));
+  Mesh.runUntil([] { return false; }, std::chrono::milliseconds(1050));
+  for (int I = 0; I < Bound; ++I)
+    CHECK(Mesh.callAndWait("GET", "/browse")->Status == 200);
+  Instant First = Mesh.Loop->now();
+  Mesh.Configuration.Set.Services[0].Limits.Slots = 8;
+  Mesh.updateGates();
+  CHECK(Mesh.callAndWait("GET", "/browse")->Status == 200);
+  CHECK(Mesh.Loop->now() - First > std::chrono::milliseconds(900));
+}
+
 TEST_CASE("The end of an earlier start does not end the present one") {
   // Guards against a deregistration that a partition held up: the upstream
   // has started again under the same name and would get no more calls.
