Open a cold upstream at once when its first word is heard; log the end of a planned stop

Change: the unknown second counts only for a start that was announced before. A start that goes on under the same name still waits for the last call that was sent there.

Processes now write a line when a planned stop is complete.

--- a/src/amaranthward/controlprocess.cpp
+++ b/src/amaranthward/controlprocess.cpp
@@ -190,8 +190,13 @@
   this->Service->tick();
   if (!this->StopBy)
     return;
-  if (!this->Service->isLeader() || this->Loop.now() >= *this->StopBy)
-    this->Loop.stop();
+  bool Leads = this->Service->isLeader();
+  if (Leads && this->Loop.now() < *this->StopBy)
+    return;
+  logFor("control")->info("The planned stop is complete; this replica {}.",
+                          Leads ? "still leads, no other took over"
+                                : "does not lead");
+  this->Loop.stop();
 }
 
 void ControlProcess::beginStop() {
--- a/src/amaranthward/nodeprocess.cpp
+++ b/src/amaranthward/nodeprocess.cpp
@@ -340,8 +340,12 @@
     this->PhaseEnds = Now + FarewellTime;
     return;
   case StopPhase::Ending:
-    if (Now >= this->PhaseEnds)
-      this->Loop.stop();
+    if (Now < this->PhaseEnds)
+      return;
+    logFor("node")->info("The planned stop is complete; {} calls at the entry "
+                         "and {} at the gate are broken off.",
+                         this->Entry->underWay(), this->Gate->underWay());
+    this->Loop.stop();
     return;
   }
 }
--- a/src/libproxy/announcement.h
+++ b/src/libproxy/announcement.h
@@ -20,7 +20,7 @@
   InstanceId Instance;
   /// Orders the starts of an upstream; 0 when not stated.
   std::uint64_t StartedAt = 0;
-  /// Orders the announcements of one start; 0 when not stated.
+  /// Numbers the announcements of one start from 1; 0 when not stated.
   std::uint64_t Sequence = 0;
   /// How long the upstream stays cold; none when it does not state it.
   std::optional<Duration> ColdFor;
@@ -28,6 +28,9 @@
   /// Fails with InvalidArgument when a field is absent or out of range.
   static Result<UpstreamAnnouncement> parse(const Json &Body);
 
+  /// The first word of a start: no process can have known that start before,
+  /// nor have sent it a call.
+  bool isFirst() const { return this->Sequence == 1; }
   /// Whether both describe the same start of the same upstream.
   bool sameStart(const UpstreamAnnouncement &Other) const;
 };
--- a/src/libproxy/gaterole.cpp
+++ b/src/libproxy/gaterole.cpp
@@ -60,7 +60,7 @@
                  Wanted.WarmUp != this->Limits.WarmUp;
   if (Changed &&
       this->Admission->status(this->Loop.now()).Phase == WarmthPhase::Cold) {
-    this->createAdmission(this->LastStart.value_or(this->Created));
+    this->createAdmission();
     this->informAdmission();
     if (Out || this->Current->Leaving)
       this->Admission->leave(this->Loop.now());
--- a/src/libproxy/gaterole.h
+++ b/src/libproxy/gaterole.h
@@ -88,9 +88,10 @@
   void startExecution(Execution &Admitted);
   void scheduleWake();
   AdmissionSettings admissionSettings() const;
-  /// \param KnownSince from when on this process knows all calls that the
-  /// upstream got.
-  void createAdmission(Instant KnownSince);
+  /// Since when all calls that the present upstream got are known here; the
+  /// second before may have been full.
+  Instant knownSince() const;
+  void createAdmission();
   /// Tells the admission control which routes lead to the upstream and what
   /// the upstream says of its warmth.
   void informAdmission();
@@ -122,8 +123,10 @@
   AdmissionSettings Limits;
   /// When this object was made; what an earlier process sent is unknown.
   Instant Created;
-  /// The last start of a call at the present upstream.
+  /// When a call was last started at any upstream.
   std::optional<Instant> LastStart;
+  /// Whether this process heard the first word of the present upstream.
+  bool KnownFromStart = false;
   std::map<RequestId, std::shared_ptr<Execution>> UnderWay;
   /// Requests known to the current admission control.
   std::map<AdmissionTicket, std::shared_ptr<Execution>> Tickets;
--- a/src/libproxy/gateroleupstream.cpp
+++ b/src/libproxy/gateroleupstream.cpp
@@ -21,8 +21,8 @@
               this->Current->Connections == Upstream.Connections;
   this->Current = this->Newest = Upstream;
   if (Replaced) {
-    this->LastStart.reset();
-    this->createAdmission(this->Created);
+    this->KnownFromStart = Upstream.isFirst();
+    this->createAdmission();
   }
   this->informAdmission();
   if (Same)
@@ -93,9 +93,15 @@
                                Service->Limits.ColdCallsPerSecond, Now);
 }
 
-void GateRole::createAdmission(Instant KnownSince) {
+Instant GateRole::knownSince() const {
+  // A start that goes on under the name of an earlier one takes its calls.
+  Instant Since = this->LastStart.value_or(Instant::min());
+  return this->KnownFromStart ? Since : std::max(Since, this->Created);
+}
+
+void GateRole::createAdmission() {
   AdmissionSettings Settings = this->admissionSettings();
-  auto Made = AdmissionControl::create(Settings, KnownSince);
+  auto Made = AdmissionControl::create(Settings, this->knownSince());
   if (!Made)
     return;
   // Waiting requests were admitted for the previous upstream.
--- a/tests/libproxy/test_announcements.cpp
+++ b/tests/libproxy/test_announcements.cpp
@@ -25,6 +25,51 @@
 
 } // namespace
 
+TEST_CASE("The first word of a cold upstream opens it at once") {
+  // Guards against a second without service after a restart of everything: no
+  // earlier process can have sent calls to a start that nobody knew.
+  MeshFixture Mesh;
+  Mesh.Configuration.Set.Services[0].Limits.ColdCallsPerSecond = 16;
+  GateNode &Node = Mesh.addGate("v1", answering("ok"));
+  Mesh.start();
+  Node.Gate->announce(coldStart(Node, 1000));
+  Instant Asked = Mesh.Loop->now();
+  CHECK(Mesh.callAndWait("GET", "/browse")->Status == 200);
+  CHECK(Mesh.Loop->now() - Asked < std::chrono::milliseconds(500));
+}
+
+TEST_CASE("A cold upstream that was known before waits for a second") {
+  // Guards against twice the bound of a cold upstream in one second when the
+  // gate beside it restarts.
+  MeshFixture Mesh;
+  Mesh.Configuration.Set.Services[0].Limits.ColdCallsPerSecond = 16;
+  GateNode &Node = Mesh.addGate("v1", answering("ok"));
+  Instant Made = Mesh.Loop->now();
+  Mesh.start();
+  UpstreamAnnouncement Later = coldStart(Node, 1000);
+  Later.Sequence = 2;
+  Node.Gate->announce(Later);
+  CHECK(Mesh.callAndWait("GET", "/browse")->Status == 200);
+  CHECK(Mesh.Loop->now() - Made > std::chrono::milliseconds(900));
+}
+
+TEST_CASE("A start that goes on under the same name keeps its calls") {
+  // Guards against twice the bound when an upstream crashes and starts again
+  // cold while calls for its name are on their way.
+  constexpr int Bound = 4;
+  MeshFixture Mesh;
+  Mesh.Configuration.Set.Services[0].Limits.ColdCallsPerSecond = Bound;
+  GateNode &Node = Mesh.addGate("v1", answering("ok"));
+  Mesh.start();
+  Node.Gate->announce(coldStart(Node, 1000));
+  for (int I = 0; I < Bound; ++I)
+    CHECK(Mesh.callAndWait("GET", "/browse")->Status == 200);
+  Instant Last = Mesh.Loop->now();
+  Node.Gate->announce(coldStart(Node, 2000));
+  CHECK(Mesh.callAndWait("GET", "/browse")->Status == 200);
+  CHECK(Mesh.Loop->now() - Last > std::chrono::milliseconds(900));
+}
+
 TEST_CASE("Late limits do not hold a cold upstream up for another second") {
   // Guards against a second without service after a restart of everything: the
   // gate has sent nothing to the upstream while it waited for its limits.
