Judge a parent by answers to replaced requests; ask the other replicas before another root

Cause, from its logs: the leader 10.3.0.26 froze at 2.5 s. Both roots of zone b had found it by trial, as the last of their seeds, so both turned to each other at 3.04 and 3.17 s and stayed until 8.7 s. A root that got an answer from another root goes back to the control replicas, but answers to replaced requests were not judged, and during the rollout a report replaced every request within its hold time of 300 ms.

Change: answers to replaced requests are judged too; a control replica that answers is remembered as the leader, so that the replicas before it come first when it fails. Both tests fail without the change.

--- a/src/libdistribution/parentselector.cpp
+++ b/src/libdistribution/parentselector.cpp
@@ -115,6 +115,10 @@
     return;
   }
   this->FailedRounds = 0;
+  // Only the leader answers. Found by trial it may be the last in the order;
+  // when it fails, the replicas before it are asked again first.
+  if (const Choice One = this->current(); One.IsControl)
+    this->leaderHint(One.Address);
   if (this->Position > 0 && !this->Candidates.empty() &&
       Now - this->LeftFirstAt >= this->Options.ReturnInterval)
     this->Position = 0;
--- a/src/libdistribution/syncclient.cpp
+++ b/src/libdistribution/syncclient.cpp
@@ -126,8 +126,14 @@
   this->Unaccepted.erase(Response.Sequence);
   if (!this->InFlight || Response.Sequence < this->FirstOfParent)
     return;
-  if (Response.Sequence != this->Sequence)
-    return this->expectAnswer(Now);
+  if (Response.Sequence != this->Sequence) {
+    this->expectAnswer(Now);
+    // With a report in each hold time every request is replaced, so these
+    // answers are all that there is to judge the parent by.
+    if (!this->AskedConfirmation)
+      this->judgeParent(Response, Now);
+    return;
+  }
   this->finishRequest();
   this->Redirects = 0;
   if (Response.RetryAfter) {
--- a/tests/libdistribution/test_syncclient.cpp
+++ b/tests/libdistribution/test_syncclient.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 struct Fixture {
-  Fixture() {
+  explicit Fixture(const std::vector<ParentCandidate> &Witnesses = {}) {
     this->Source.Cluster = ClusterId("c1");
     Member Self;
     Self.Node = NodeName("n");
@@ -27,8 +27,8 @@
     };
     Hooks.OnChanged = [this](bool, bool) { ++this->Changes; };
     this->Client = *SyncClient::create(this->State, Self,
-                                       {Endpoint("c:1"), Endpoint("c:2")}, {},
-                                       {}, std::move(Hooks));
+                                       {Endpoint("c:1"), Endpoint("c:2")},
+                                       Witnesses, {}, std::move(Hooks));
     this->Client->start(this->Now);
   }
   void change(std::vector<ResourceChange> Some, std::uint64_t Number) {
@@ -49,6 +49,13 @@
     return Response;
   }
 
+  /// The latest request fails, and the next one is sent.
+  void failLatest() {
+    this->Client->onFailure(this->Requests.back().Sequence, this->Now);
+    this->Now += 100ms;
+    this->Client->tick(this->Now);
+  }
+
   Instant Now{10s};
   DistributedState Source = *DistributedState::create();
   DistributedState State = *DistributedState::create();
@@ -232,3 +239,39 @@
   CHECK((F.Targets.back() == Endpoint("c:3") ||
          F.Targets.back() == Endpoint("c:4")));
 }
+
+TEST_CASE("Frequent reports do not keep a root at another root") {
+  // Guards against two roots of a zone that ask each other and nobody else:
+  // answers to replaced requests were not judged, and with a report in each
+  // hold time every request was replaced.
+  Fixture F({{NodeName("w"), Endpoint("w:1")}});
+  F.failLatest();
+  F.failLatest();
+  REQUIRE(F.Targets.back() == Endpoint("w:1"));
+  for (Instant End = F.Now + 1s;
+       F.Now < End && F.Targets.back() == Endpoint("w:1"); F.Now += 10ms) {
+    const std::size_t Sent = F.Requests.size();
+    F.Client->observe(Json(Sent));
+    F.Client->reportSoon(F.Now);
+    F.Client->tick(F.Now);
+    if (F.Requests.size() == Sent)
+      continue;
+    SyncResponse Empty;
+    Empty.Sequence = F.Requests[Sent - 1].Sequence;
+    F.Client->onResponse(Empty, F.Now);
+  }
+  CHECK(F.Targets.back() != Endpoint("w:1"));
+}
+
+TEST_CASE("A leader found by trial that falls silent is not the last to ask") {
+  // Guards against a root that skips the replicas that it asked before the
+  // leader and turns to another root, which has lost the same leader.
+  Fixture F({{NodeName("w"), Endpoint("w:1")}});
+  F.failLatest();
+  REQUIRE(F.Targets.back() == Endpoint("c:2"));
+  F.change({{"a", 1U}}, 1);
+  F.Client->onResponse(F.answer(), F.Now);
+  REQUIRE(F.Targets.back() == Endpoint("c:2"));
+  F.failLatest();
+  CHECK(F.Targets.back() == Endpoint("c:1"));
+}
