--- a/src/amaranthward/controlprocess.cpp
+++ b/src/amaranthward/controlprocess.cpp
@@ -46,9 +46,8 @@
 }
 
 Result<void> ControlProcess::start() {
-  HttpClientLimits MeshLimits;
-  MeshLimits.ConnectTimeout = MeshConnectTimeout;
-  auto ClientMade = HttpClient::create(this->Loop, MeshLimits);
+  auto ClientMade =
+      HttpClient::create(this->Loop, HttpClientLimits::withinMesh());
   if (!ClientMade)
     return tl::make_unexpected(ClientMade.error());
   this->Client = std::move(*ClientMade);
--- a/src/amaranthward/nodeprocess.cpp
+++ b/src/amaranthward/nodeprocess.cpp
@@ -31,13 +31,12 @@
 }
 
 Result<void> NodeProcess::start() {
-  HttpClientLimits MeshLimits;
-  MeshLimits.ConnectTimeout = MeshConnectTimeout;
-  auto ClientMade = HttpClient::create(this->Loop, MeshLimits);
+  auto ClientMade =
+      HttpClient::create(this->Loop, HttpClientLimits::withinMesh());
   if (!ClientMade)
     return tl::make_unexpected(ClientMade.error());
   this->Client = std::move(*ClientMade);
-  HttpClientLimits UpstreamLimits = MeshLimits;
+  HttpClientLimits UpstreamLimits = HttpClientLimits::withinMesh();
   UpstreamLimits.IdleTimeout = UpstreamIdle;
   UpstreamLimits.BodyMayEndWithConnection = true;
   auto UpstreamsMade = HttpClient::create(this->Loop, UpstreamLimits);
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -42,12 +42,19 @@
   virtual bool bytesSent() const = 0;
 };
 
-/// For connections within the mesh: several round trips between regions
-/// (70 ms), and less than the second after which a lost opening packet is sent
-/// again. A request that finds no connection has not run and goes elsewhere.
-constexpr Duration MeshConnectTimeout = std::chrono::milliseconds(250);
-
 struct HttpClientLimits {
+  /// Several round trips between regions (70 ms), and less than the second
+  /// after which a lost opening packet is sent again. A request that finds no
+  /// connection has not run and goes elsewhere.
+  static constexpr Duration MeshConnectTimeout = std::chrono::milliseconds(250);
+
+  /// For connections within the mesh.
+  static HttpClientLimits withinMesh() {
+    HttpClientLimits Limits;
+    Limits.ConnectTimeout = MeshConnectTimeout;
+    return Limits;
+  }
+
   Duration ConnectTimeout = std::chrono::milliseconds(1000);
   /// Idle connections are closed after this time.
   Duration IdleTimeout = std::chrono::seconds(15);
--- a/src/libpolicy/admissiongate.h
+++ b/src/libpolicy/admissiongate.h
@@ -63,6 +63,8 @@
   Duration waitFor(const AdmissionQueue::Waiting &Call, Duration Turn) const;
   AdmissionDecision enqueue(AdmissionQueue::Waiting Call, Instant Now,
                             AdmissionActions &Actions);
+  /// Starts waiting calls for which there is room. After refuseHopeless() at
+  /// the same time all of them can still end in time.
   void startWaiting(Instant Now, AdmissionActions &Actions);
   void refuseHopeless(Instant Now, AdmissionActions &Actions);
   /// Lowers the limit when calls show that the upstream is cold.
--- a/src/libpolicy/overloadguard.h
+++ b/src/libpolicy/overloadguard.h
@@ -22,7 +22,6 @@
   /// \param Wait estimated time until the call would start.
   /// \param Room longest wait with which the call meets its objective.
   bool mayWait(std::uint32_t Route, Duration Wait, Duration Room, Instant Now);
-  bool isOverloaded(Instant Now) const;
 
   /// The overload is over when no call was refused for this time, about that of
   /// the longest calls.
@@ -31,6 +30,8 @@
   static constexpr int OpenDivisor = 2;
 
 private:
+  bool isOverloaded(Instant Now) const;
+
   std::optional<Instant> LastRefusal;
   /// By route: whether its calls are refused at present.
   std::vector<bool> Closed;
