Show how a configuration arrives, and how long events wait for a loop

The hypotheses of docs/incidents/config-gone.md could not be told apart: the logs had the revisions in force, but not what each one cost, which chunks came in vain, why a parent was changed, or how late a loop saw the end of a connection.

No logic changes.

--- a/src/amaranthward/controlprocess.cpp
+++ b/src/amaranthward/controlprocess.cpp
@@ -106,6 +106,8 @@
     this->MetricsEndpoint = std::move(*Listening);
   }
   this->Loop.every(TickInterval, [this] { this->tick(); });
+  LatencyBuckets &Turns = this->Registry.latency("loop_turn_seconds");
+  this->Loop.observeTurns([&Turns](Duration Turn) { Turns.add(Turn); });
   logFor("control")->info("Replica {} listens on {}.",
                           this->Settings.Name.str(),
                           this->Server->address().str());
--- a/src/amaranthward/nodedistribution.cpp
+++ b/src/amaranthward/nodedistribution.cpp
@@ -1,5 +1,6 @@
 #include "amaranthward/nodedistribution.h"
 
+#include "libcore/eventlog.h"
 #include "libcore/log.h"
 
 namespace amaranthward {
@@ -104,14 +105,18 @@
   Made.Send = [this](const Endpoint &To, const SyncRequest &Request) {
     if (To != this->LoggedParent) {
       logFor("distribution")
-          ->info("Sync parent is {} (previously {}); revision {} is in force.",
-                 To.str(), this->LoggedParent.str(), this->inForce().value());
+          ->info("Sync parent is {} (previously {}: {}); revision {} is in "
+                 "force.",
+                 To.str(), this->LoggedParent.str(),
+                 this->Client->parentChangeReason(), this->inForce().value());
       this->LoggedParent = To;
     }
     this->Transport->send(To, Request);
   };
-  Made.CheckReferences = [](const ResourceMap &Staged) -> Result<void> {
+  Made.CheckReferences = [this](const ResourceMap &Staged) -> Result<void> {
+    const Instant Start = this->Loop.now();
     auto Checked = RoutingView::create(Staged);
+    this->CheckTook = this->Loop.now() - Start;
     if (!Checked)
       return tl::make_unexpected(Checked.error());
     return {};
@@ -142,6 +147,7 @@
 
 void NodeDistribution::onChanged(bool Replicated, bool Members) {
   if (Replicated) {
+    const Instant Start = this->Loop.now();
     auto Made = RoutingView::create(this->State.Replicated.resources());
     if (!Made) {
       // Not expected: CheckReferences accepted the state before it was applied.
@@ -157,6 +163,7 @@
     if (this->InForceLog.size() > MaxInForceLog)
       this->InForceLog.pop_front();
     logFor("config")->info("Revision {} is in force.", this->inForce().value());
+    this->logTransfer(this->Loop.now() - Start);
   }
   if (Replicated || Members) {
     this->Server->wake(this->Loop.now());
@@ -164,6 +171,27 @@
   }
 }
 
+void NodeDistribution::logTransfer(Duration ViewTook) {
+  const TransferReport &Last = this->Client->lastTransfer();
+  const TransferCounters &Counts = this->Client->transfers();
+  this->Registry.counter("sync_chunks_total") = Counts.Chunks;
+  this->Registry.counter("sync_chunks_superseded_total") =
+      Counts.SupersededChunks;
+  this->Registry.counter("sync_transfer_restarts_total") = Counts.Restarts;
+  LogFields Fields;
+  Fields.add("revision", Last.Installed.value())
+      .add("first_target", Last.FirstTarget.value())
+      .add("parent", this->Client->parent().str())
+      .add("chunks", Last.Chunks)
+      .add("changes", Last.Changes)
+      .add("took_ms", Last.Took)
+      .add("check_ms", this->CheckTook)
+      .add("view_ms", ViewTook)
+      .add("superseded_chunks", Counts.SupersededChunks)
+      .add("restarts", Counts.Restarts);
+  logEvent("distribution", "installed", Fields, this->Loop.now());
+}
+
 void NodeDistribution::addPeerRoutes(HttpRouter &Router) {
   SyncEndpoint::Hooks Hooks;
   Hooks.Now = [this] { return this->Loop.now(); };
--- a/src/amaranthward/nodedistribution.h
+++ b/src/amaranthward/nodedistribution.h
@@ -87,6 +87,8 @@
   SyncServerHooks serverHooks();
   /// The flags tell which table changed.
   void onChanged(bool Replicated, bool Members);
+  /// \param ViewTook time to build the routing view.
+  void logTransfer(Duration ViewTook);
   void serveRevision(ServerExchange &Exchange) const;
   void queryWitnesses();
   void onWitnessAnswer(const Endpoint &From, const Json &Answer);
@@ -107,6 +109,8 @@
   /// Newest revision that was confirmed to be current.
   std::optional<Revision> ConfirmedRevision;
   std::deque<InForceEntry> InForceLog;
+  /// Time that the last check of a staged revision took.
+  Duration CheckTook{0};
   /// Parent that was logged last.
   Endpoint LoggedParent;
   Instant NextWitnessRound;
--- a/src/amaranthward/nodeprocess.cpp
+++ b/src/amaranthward/nodeprocess.cpp
@@ -58,6 +58,8 @@
   if (auto Listening = this->listen(); !Listening)
     return Listening;
   this->Loop.every(TickInterval, [this] { this->tick(); });
+  LatencyBuckets &Turns = this->Registry.latency("loop_turn_seconds");
+  this->Loop.observeTurns([&Turns](Duration Turn) { Turns.add(Turn); });
   this->Distribution->start();
   logFor("node")->info("Node {} serves callers on {}.",
                        this->Settings.Name.str(),
--- a/src/libconsensus/replicacore.cpp
+++ b/src/libconsensus/replicacore.cpp
@@ -274,6 +274,7 @@
   if (this->Failed || !Due || this->now() < this->NextSnapshot)
     return;
   LogIndex Last = this->Committed;
+  Instant Start = this->now();
   auto Saved =
       this->Snapshots.save({Last, *this->termAt(Last), this->votersAt(Last),
                             this->Hooks.TakeSnapshot()});
@@ -283,9 +284,12 @@
                 ? this->Log.reset(Last.next())
                 : this->Log.discardThrough(Last);
   if (Saved) {
+    this->logger().info(
+        "{}: snapshot of {} bytes through entry {}, after {} bytes of log; "
+        "took {} ms",
+        this->Options.Self.str(), this->snapshot()->State.size(), Last.value(),
+        this->BytesSinceSnapshot, (this->now() - Start).count() / 1000);
     this->BytesSinceSnapshot = 0;
-    this->logger().info("{}: snapshot through entry {}",
-                        this->Options.Self.str(), Last.value());
     this->scanVoterSets();
   } else if (Saved.error().Code == ErrorCode::Exhausted) {
     this->NextSnapshot = this->now() + SnapshotRetryDelay;
--- a/src/libdistribution/syncclient.cpp
+++ b/src/libdistribution/syncclient.cpp
@@ -128,6 +128,8 @@
   if (!this->InFlight || Response.Sequence < this->FirstSequenceAtParent)
     return;
   if (Response.Sequence != this->Sequence) {
+    if (Response.ReplicatedChunk)
+      ++this->Transfers.SupersededChunks;
     this->restartAnswerTimeout(Now);
     // With a report in each hold time every request is replaced, so the answers
     // to replaced requests are the only information about the parent.
@@ -153,7 +155,7 @@
     this->Selector.setCandidates(*Response.Parents, {});
   else if (!AskedControlReplica)
     this->evaluateParent(Response, Now);
-  this->installChunks(Response);
+  this->installChunks(Response, Now);
   if (this->SendAt || this->InFlight)
     return;
   // Avoid a tight loop with a parent that answers at once without changes.
@@ -175,18 +177,22 @@
                       Response.Members < this->State.Members.current();
   Duration Wait = Duration::zero();
   if (Response.SourceAge >= this->Selector.options().MaxParentLag &&
-      !this->Selector.current().DataOnly)
+      !this->Selector.current().DataOnly) {
+    this->ParentChangeReason = "parent has lost the leader";
     Wait = this->Selector.reportFailure(Now);
-  else if (Behind)
+  } else if (Behind) {
+    this->ParentChangeReason = "parent is behind";
     Wait = this->Selector.reportBehind(Now);
-  else
+  } else {
+    this->ParentChangeReason = "earlier choice works again";
     this->Selector.reportSuccess(Now);
+  }
   if (Wait > Duration::zero())
     this->SendAt = Now + Wait;
 }
 
-void SyncClient::installChunks(const SyncResponse &Response) {
-  const bool Replicated = this->installReplicatedChunk(Response);
+void SyncClient::installChunks(const SyncResponse &Response, Instant Now) {
+  const bool Replicated = this->installReplicatedChunk(Response, Now);
   const bool Members = this->installMemberChunk(Response);
   if (Members)
     this->refreshParents();
@@ -194,9 +200,27 @@
     this->Hooks.OnChanged(Replicated, Members);
 }
 
-bool SyncClient::installReplicatedChunk(const SyncResponse &Response) {
-  if (!Response.ReplicatedChunk ||
-      !this->ReplicatedStaging.add(*Response.ReplicatedChunk))
+void SyncClient::countChunk(const TableChunk &Chunk, Instant Now) {
+  ++this->Transfers.Chunks;
+  if (Chunk.First) {
+    if (this->ReplicatedStaging.cursor())
+      ++this->Transfers.Restarts;
+    this->TransferStart = Now;
+    this->CurrentTransfer = {};
+    this->CurrentTransfer.FirstTarget = Chunk.Current.revision();
+  }
+  ++this->CurrentTransfer.Chunks;
+  this->CurrentTransfer.Changes += Chunk.Changes.size();
+  this->CurrentTransfer.Installed = Chunk.Current.revision();
+  this->CurrentTransfer.Took = Now - this->TransferStart;
+}
+
+bool SyncClient::installReplicatedChunk(const SyncResponse &Response,
+                                        Instant Now) {
+  if (!Response.ReplicatedChunk)
+    return false;
+  this->countChunk(*Response.ReplicatedChunk, Now);
+  if (!this->ReplicatedStaging.add(*Response.ReplicatedChunk))
     return false;
   const Revision Next = this->ReplicatedStaging.target().revision();
   if (Response.Cluster == this->State.Cluster &&
@@ -215,6 +239,7 @@
   }
   this->State.Cluster = Response.Cluster;
   this->Refusal.reset();
+  this->LastTransfer = this->CurrentTransfer;
   return true;
 }
 
@@ -254,6 +279,7 @@
     return;
   if (!this->View.refresh(this->State.Members))
     return;
+  this->ParentChangeReason = "members changed";
   const RelayTree &Tree = this->View.treeOf(this->Self.Zone);
   this->Selector.setCandidates(Tree.candidatesFor(this->Self.Node),
                                Tree.otherRoots(this->Self.Node));
@@ -262,6 +288,7 @@
 void SyncClient::onFailure(std::uint64_t Failed, Instant Now) {
   if (!this->InFlight || Failed != this->Sequence)
     return;
+  this->ParentChangeReason = "request failed";
   this->retryNextParent(Now);
 }
 
@@ -301,6 +328,7 @@
   }
   this->finishRequest();
   this->restoreUnanswered();
+  this->ParentChangeReason = "redirected to the leader";
   this->Selector.setLeaderHint(Leader);
   if (this->AskedConfirmation)
     this->ConfirmationAskedAt.reset();
@@ -308,8 +336,10 @@
 }
 
 void SyncClient::tick(Instant Now) {
-  if (this->InFlight && this->AnswerDeadline && Now >= *this->AnswerDeadline)
+  if (this->InFlight && this->AnswerDeadline && Now >= *this->AnswerDeadline) {
+    this->ParentChangeReason = "no answer in time";
     this->retryNextParent(Now);
+  }
   if (this->SendAt && Now >= *this->SendAt)
     this->send(Now);
 }
--- a/src/libdistribution/syncclient.h
+++ b/src/libdistribution/syncclient.h
@@ -35,6 +35,26 @@
   ParentSelectorOptions Parents;
 };
 
+/// Chunks of the replicated state since the start of the client.
+struct TransferCounters {
+  std::uint64_t Chunks = 0;
+  /// Chunks that were not used, because they answered a replaced request.
+  std::uint64_t SupersededChunks = 0;
+  /// Transfers that began again before they were complete.
+  std::uint64_t Restarts = 0;
+};
+
+/// The transfer that brought the revision in force.
+struct TransferReport {
+  /// The parent's revision at the first chunk, and the one installed.
+  Revision FirstTarget;
+  Revision Installed;
+  std::uint64_t Chunks = 0;
+  std::size_t Changes = 0;
+  /// From the first chunk to the installation.
+  Duration Took{0};
+};
+
 struct SyncClientHooks {
   /// Sends a request and reports the result through SyncClient::onResponse,
   /// onFailure or onRedirect. The request may replace one in flight; the
@@ -111,6 +131,10 @@
   const Member &self() const { return this->Self; }
   SessionId session() const { return this->Session; }
   const Endpoint &parent() const { return this->Target; }
+  /// Why the parent was changed last.
+  const char *parentChangeReason() const { return this->ParentChangeReason; }
+  const TransferCounters &transfers() const { return this->Transfers; }
+  const TransferReport &lastTransfer() const { return this->LastTransfer; }
   /// The last revision that could not be put in force; reset when one is.
   const std::optional<RefusedRevision> &refusal() const {
     return this->Refusal;
@@ -129,8 +153,9 @@
   void retryNextParent(Instant Now);
   void restoreUnanswered();
   void interrupt(Instant When, Instant Now);
-  void installChunks(const SyncResponse &Response);
-  bool installReplicatedChunk(const SyncResponse &Response);
+  void installChunks(const SyncResponse &Response, Instant Now);
+  bool installReplicatedChunk(const SyncResponse &Response, Instant Now);
+  void countChunk(const TableChunk &Chunk, Instant Now);
   bool installMemberChunk(const SyncResponse &Response);
   Result<void> checkStaged(const ClusterId &Cluster) const;
   void refuse(Revision Refused, const std::string &Reason);
@@ -171,6 +196,11 @@
   std::optional<Instant> CountersSentAt;
   std::uint64_t CountersEpoch = 0;
   std::optional<RefusedRevision> Refusal;
+  const char *ParentChangeReason = "start";
+  TransferCounters Transfers;
+  TransferReport CurrentTransfer;
+  Instant TransferStart;
+  TransferReport LastTransfer;
 };
 
 } // namespace amaranthward
--- a/src/libnet/eventloop.cpp
+++ b/src/libnet/eventloop.cpp
@@ -21,6 +21,8 @@
 constexpr Duration LongestPoll = std::chrono::milliseconds(1000);
 /// A turn of the loop that takes longer delays heartbeats noticeably.
 constexpr Duration LongPause = std::chrono::milliseconds(100);
+/// A poll that takes longer has waited, so no event was ready when it began.
+constexpr Duration BlockedPoll = std::chrono::milliseconds(1);
 
 struct Watch {
   EventLoop::SocketHooks Hooks;
@@ -95,8 +97,14 @@
   void run() override {
     while (!this->Stopped.exchange(false)) {
       PollSet::SocketModeMap Ready;
+      Instant PollStart = monotonicNow();
       this->guarded([&] { Ready = this->Polled.poll(this->pollTime()); });
       Instant Start = monotonicNow();
+      this->TurnStart = Start;
+      this->LagAtStart = Start - PollStart < BlockedPoll
+                             ? PollStart - this->TurnBefore
+                             : Duration(0);
+      this->TurnBefore = Start;
       for (const auto &[Which, Mode] : Ready)
         this->dispatch(Which, Mode);
       this->runTimers();
@@ -116,8 +124,18 @@
 
   Duration longestPause() const override { return this->Pause; }
 
+  Duration eventLag() const override {
+    return this->LagAtStart + (monotonicNow() - this->TurnStart);
+  }
+
+  void observeTurns(std::function<void(Duration)> OnTurn) override {
+    this->OnTurn = std::move(OnTurn);
+  }
+
 private:
   void notePause(Duration Turn) {
+    if (this->OnTurn)
+      this->OnTurn(Turn);
     this->Pause = std::max(this->Pause, Turn);
     if (Turn >= LongPause)
       this->Log->warn("A turn of the event loop took {} ms.",
@@ -229,6 +247,11 @@
   std::deque<Task> Posted;
   TimerId LastTimer = 0;
   Duration Pause{0};
+  Instant TurnStart = monotonicNow();
+  /// Start of the turn before.
+  Instant TurnBefore = monotonicNow();
+  Duration LagAtStart{0};
+  std::function<void(Duration)> OnTurn;
   Poco::Net::StreamSocket WakeIn;
   Poco::Net::StreamSocket WakeOut;
   int WakeDescriptor;
--- a/src/libnet/eventloop.h
+++ b/src/libnet/eventloop.h
@@ -50,6 +50,12 @@
 
   /// Longest time that one turn of the loop took between two polls.
   virtual Duration longestPause() const = 0;
+  /// Upper bound of the time for which the event that is being handled has
+  /// waited for this loop. An event that was ready when the loop polled may
+  /// have waited for the whole turn before.
+  virtual Duration eventLag() const = 0;
+  /// Calls \a OnTurn after each turn with the time that it took.
+  virtual void observeTurns(std::function<void(Duration)> OnTurn) = 0;
 };
 
 } // namespace amaranthward
--- a/src/libproxy/entrycall.cpp
+++ b/src/libproxy/entrycall.cpp
@@ -17,7 +17,7 @@
                      std::function<void(EntryCall *)> OnCallFinished)
     : Shared(Shared), Exchange(std::move(Exchange)), Route(Route), Class(Class),
       Until(Until), OnCallFinished(std::move(OnCallFinished)),
-      Received(Shared.Loop.now()) {}
+      Received(Shared.Loop.now()), ReceivedLag(Shared.Loop.eventLag()) {}
 
 std::shared_ptr<EntryCall>
 EntryCall::create(EntryContext &Shared,
--- a/src/libproxy/entrycall.h
+++ b/src/libproxy/entrycall.h
@@ -120,6 +120,8 @@
   /// Attempts that a gate refused.
   std::uint32_t GateRefusals = 0;
   Instant Received;
+  /// EventLoop::eventLag() when the request was received, for the log.
+  Duration ReceivedLag;
   Instant AttemptStart;
   int ResponseStatus = 0;
   EventLoop::TimerId DeadlineTimer = 0;
--- a/src/libproxy/entrycalllog.cpp
+++ b/src/libproxy/entrycalllog.cpp
@@ -56,7 +56,9 @@
   Fields.add("outcome", KnownOutcome)
       .add("status", Status)
       .add("reason", Reason)
-      .add("took_ms", Now - this->Received);
+      .add("took_ms", Now - this->Received)
+      .add("received_lag_ms", this->ReceivedLag)
+      .add("lag_ms", this->Shared.Loop.eventLag());
   bool Ok = KnownOutcome == std::string_view(toString(Outcome::Answered));
   logEvent(logpart::Entry, Ok ? "answered" : "failed", Fields, Now);
 }
--- a/src/libproxy/execution.cpp
+++ b/src/libproxy/execution.cpp
@@ -24,6 +24,7 @@
                                                 std::move(Request), Idempotent,
                                                 std::move(NewHooks)));
   Made->ArrivedAt = Loop.now();
+  Made->ArrivedLag = Loop.eventLag();
   Made->DeadlineAt = Made->ArrivedAt + Made->Request.TimeLeft;
   std::weak_ptr<Execution> Self = Made;
   Made->DeadlineTimer = Loop.after(Made->Request.TimeLeft, [Self] {
--- a/src/libproxy/execution.h
+++ b/src/libproxy/execution.h
@@ -140,6 +140,8 @@
   /// Deadline of the request.
   Instant DeadlineAt;
   Instant ArrivedAt;
+  /// EventLoop::eventLag() when the request arrived, for the log.
+  Duration ArrivedLag{0};
   Instant StartedAt;
   /// The instance that ran the request.
   InstanceId Instance;
--- a/src/libproxy/executionlog.cpp
+++ b/src/libproxy/executionlog.cpp
@@ -21,7 +21,9 @@
       .add("reason", Reason)
       .add("started", this->WasStarted)
       .add("waited_ms", this->waited())
-      .add("took_ms", Now - this->ArrivedAt);
+      .add("took_ms", Now - this->ArrivedAt)
+      .add("arrived_lag_ms", this->ArrivedLag)
+      .add("lag_ms", this->Loop.eventLag());
   Fields.add("revision", this->RevisionAtAdmission.value());
   addStatus(Fields, this->StatusAtAdmission);
   if (this->UpstreamTime)
