Start no request whose caller has left already

Cause: the end of a connection is an event like any other. A loop that is behind finds the head of a request and the end of its connection in one buffer, starts the request and sees the end one turn later; a slot that becomes free starts a queued request whose entry has closed in the same way.

An entry now asks the system whether the caller's connection has ended before it forwards, a gate whether all connections of a request have ended before it starts it. A request that is not idempotent and waits for a re-attach is not started in that time either: it ends "not run", which is true. Keyed requests run as before, because the caller may come back for the result.

--- a/src/libnet/httpserver.h
+++ b/src/libnet/httpserver.h
@@ -28,6 +28,9 @@
 
   virtual const HttpRequestHead &request() const = 0;
   virtual const Endpoint &peer() const = 0;
+  /// Whether the peer has closed the connection. Asks the system, so it is true
+  /// before \a OnAborted when the loop has other events to handle first.
+  virtual bool peerLeft() = 0;
   /// Starts delivery of the body. Body bytes wait in a bounded buffer before.
   virtual void setHooks(Hooks NewHooks) = 0;
   /// Stops and restarts reading from the peer (back-pressure). A peer that
--- a/src/libnet/serverconnection.cpp
+++ b/src/libnet/serverconnection.cpp
@@ -22,6 +22,10 @@
 
   const HttpRequestHead &request() const override { return this->Head; }
   const Endpoint &peer() const override { return this->Peer; }
+  bool peerLeft() override {
+    auto Kept = this->connection();
+    return !Kept || Kept->peerLeft();
+  }
   void setHooks(Hooks NewHooks) override {
     if (auto Kept = this->connection())
       Kept->setHooks(this->Sequence, std::move(NewHooks));
--- a/src/libnet/serverconnection.h
+++ b/src/libnet/serverconnection.h
@@ -56,6 +56,7 @@
   // For the exchange of the request with this sequence number.
   bool current(std::uint64_t Which);
   const Endpoint &peer() const { return this->Peer; }
+  bool peerLeft() { return this->Stream->peerClosed(); }
   void setHooks(std::uint64_t Which, ServerExchange::Hooks NewHooks);
   void pauseBody(std::uint64_t Which, bool Paused);
   void sendInterim(std::uint64_t Which, int Status);
--- a/src/libnet/streamconnection.cpp
+++ b/src/libnet/streamconnection.cpp
@@ -107,17 +107,21 @@
   this->scheduleFlush();
 }
 
-bool StreamConnection::peerActed() {
+int StreamConnection::peek() {
   if (this->Closed)
-    return true;
+    return 0;
   try {
     char Byte = 0;
-    return this->Socket.receiveBytes(&Byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+    return this->Socket.receiveBytes(&Byte, 1, MSG_PEEK | MSG_DONTWAIT);
   } catch (const Poco::Exception &) {
-    return true;
+    return 0;
   }
 }
 
+bool StreamConnection::peerActed() { return this->peek() >= 0; }
+
+bool StreamConnection::peerClosed() { return this->peek() == 0; }
+
 void StreamConnection::onReadable() {
   if (!this->Connected)
     return;
--- a/src/libnet/streamconnection.h
+++ b/src/libnet/streamconnection.h
@@ -58,6 +58,9 @@
   std::uint64_t bytesOut() const { return this->TotalOut; }
   /// True when the peer has closed or sent bytes nobody asked for.
   bool peerActed();
+  /// True when the connection has ended and all its bytes are read, also before
+  /// the event loop has handled the end.
+  bool peerClosed();
 
 private:
   StreamConnection(EventLoop &Loop, const Poco::Net::StreamSocket &Socket,
@@ -73,6 +76,9 @@
     this->end(ConnectionEnd::Failed, Reason);
   }
   void afterFlush();
+  /// Number of bytes that can be read, at most 1; 0 at the end of the
+  /// connection, -1 when nothing has arrived.
+  int peek();
 
   EventLoop &Loop;
   Poco::Net::StreamSocket Socket;
--- a/src/libproxy/entrycall.cpp
+++ b/src/libproxy/entrycall.cpp
@@ -153,6 +153,11 @@
 }
 
 void EntryCall::forward() {
+  if (this->Exchange->peerLeft()) {
+    this->releaseClaim();
+    this->onAborted();
+    return;
+  }
   ++this->UpstreamAttempts;
   ++this->Shared.Counters.Attempts;
   // Logged in advance, because a non-idempotent request may have run even if
--- a/src/libproxy/execution.cpp
+++ b/src/libproxy/execution.cpp
@@ -75,6 +75,11 @@
 }
 
 void Execution::start(const UpstreamAnnouncement &To) {
+  this->WasAdmitted = true;
+  if (this->isAbandoned()) {
+    this->cancel(BadGateway, "cancelled");
+    return;
+  }
   this->Phase = State::Running;
   this->WasStarted = true;
   Instant Now = this->Loop.now();
--- a/src/libproxy/execution.h
+++ b/src/libproxy/execution.h
@@ -44,7 +44,8 @@
   void begin(std::shared_ptr<ServerExchange> First);
   /// Adds an exchange that asks for the response to the same request.
   void attach(std::shared_ptr<ServerExchange> Later);
-  /// Sends the request to the upstream; called once, on admission.
+  /// Sends the request to the upstream; called once, on admission. A request
+  /// that nobody waits for any more ends with outcome "not run" instead.
   void start(const UpstreamAnnouncement &Upstream);
   /// Ends a request with outcome "not run", unless it was started.
   void refuse(int Status, const std::string &Reason);
@@ -57,6 +58,8 @@
   void dropResponse();
 
   bool finished() const { return this->Phase == State::Finished; }
+  /// True once \a start was called.
+  bool admitted() const { return this->WasAdmitted; }
   /// True once the request was handed to the upstream connection.
   bool started() const { return this->WasStarted; }
   /// Time from arrival until the start, or until now if it was not started.
@@ -105,6 +108,9 @@
   void updateBackPressure();
   void finish(Outcome Ended, int Status, const std::string &Reason,
               UpstreamResult Result);
+  /// Whether all exchanges have ended. A keyed request is never abandoned,
+  /// because the caller may send it again to get its result.
+  bool isAbandoned() const;
   /// Sends the outcome of a request that has no response.
   void answerFailure(ServerExchange &Exchange);
   void logEnd(const std::string &Reason) const;
@@ -125,6 +131,7 @@
   std::shared_ptr<ServerExchange> Source;
   std::shared_ptr<ClientExchange> Upstream;
   bool RequestComplete = false;
+  bool WasAdmitted = false;
   bool WasStarted = false;
   HttpResponseHead ResponseHead;
   std::string ResponseBody;
--- a/src/libproxy/executionwaiters.cpp
+++ b/src/libproxy/executionwaiters.cpp
@@ -75,8 +75,7 @@
     return;
   }
   this->updateBackPressure();
-  // A keyed request runs to its end, because the caller may send it again to
-  // get its result.
+  // See isAbandoned().
   if (!this->Waiters.empty() || this->Request.Keyed)
     return;
   if (this->Idempotent) {
@@ -91,6 +90,13 @@
   });
 }
 
+bool Execution::isAbandoned() const {
+  return !this->Request.Keyed &&
+         std::all_of(
+             this->Waiters.begin(), this->Waiters.end(),
+             [](const Waiter &Each) { return Each.Exchange->peerLeft(); });
+}
+
 void Execution::waiterDrained(const ServerExchange *Drained) {
   for (Waiter &Each : this->Waiters)
     if (Each.Exchange.get() == Drained)
--- a/src/libproxy/gaterole.cpp
+++ b/src/libproxy/gaterole.cpp
@@ -235,7 +235,7 @@
   if (Found == this->Tickets.end() || Found->second.get() != &Ended)
     return;
   this->Tickets.erase(Found);
-  if (Ended.started())
+  if (Ended.admitted())
     this->apply(
         this->Admission->complete(Ended.Ticket, Result, UpstreamTime, Now));
   else if (Result == UpstreamResult::Cancelled)
@@ -269,8 +269,9 @@
 }
 
 void GateRole::startExecution(Execution &Admitted) {
-  this->LastStart = this->Loop.now();
   Admitted.start(*this->Current);
+  if (Admitted.started())
+    this->LastStart = this->Loop.now();
 }
 
 void GateRole::scheduleWake() {
