Distribution: send reports apart from the request for data

A node had one request at its parent. A report (an acknowledgement after 100 ms, counters of a move after 200 ms) replaced it, and the node used the chunks of the answer to the newest request only. A chunk that was on its way longer than the gap between two reports was thrown away and sent again: the more a change filled the links, the longer it took, without end where all nodes report.

A report that cannot wait is now a request of its own ("ro"), answered at once; the request for data stays parked or keeps its transfer. Since the data request is no longer replaced, it has an answer timeout of its own, which answers to reports do not extend: a connection may be silent while others work.

An older parent takes a report as a request: it answers the parked one, and the node asks again after a quarter of the hold time.

--- a/src/libdistribution/syncclient.cpp
+++ b/src/libdistribution/syncclient.cpp
@@ -49,27 +49,35 @@
                                         : this->Selector.current();
   if (this->AskedConfirmation)
     this->ConfirmationAskedAt = Now;
-  // A request that replaces a parked one does not restart the answer timeout:
-  // with reports every 200 ms it would never expire.
-  const bool SameParent = this->InFlight && this->Target == To.Address;
-  if (!SameParent) {
+  if (this->Target != To.Address)
     this->FirstSequenceAtParent = this->Sequence + 1;
-    this->restartAnswerTimeout(Now);
-  }
+  this->restartAnswerTimeout(Now);
   this->Target = To.Address;
   this->SendAt.reset();
   this->LastSent = Now;
   this->InFlight = true;
   const SyncRequest Request = this->buildRequest(To, Now);
+  this->DataSequence = Request.Sequence;
   this->Hooks.Send(To.Address, Request);
 }
 
+void SyncClient::sendReport(Instant Now) {
+  this->ReportAt.reset();
+  const ParentSelector::Choice To = this->Selector.current();
+  if (To.DataOnly)
+    return;
+  this->LastSent = Now;
+  SyncRequest Report = this->newRequest();
+  Report.ReportOnly = true;
+  this->addUplinkTo(Report, Now);
+  this->Hooks.Send(To.Address, Report);
+}
+
 void SyncClient::restartAnswerTimeout(Instant Now) {
   this->AnswerDeadline = Now + this->ParentHold + this->Options.SilenceMargin;
 }
 
-SyncRequest SyncClient::buildRequest(const ParentSelector::Choice &To,
-                                     Instant Now) {
+SyncRequest SyncClient::newRequest() {
   SyncRequest Request;
   Request.Node = this->Self.Node;
   Request.Start = this->Self.Start;
@@ -78,6 +86,12 @@
   Request.Cluster = this->State.Cluster;
   Request.InForce = this->State.inForce();
   Request.Members = this->State.Members.current();
+  return Request;
+}
+
+SyncRequest SyncClient::buildRequest(const ParentSelector::Choice &To,
+                                     Instant Now) {
+  SyncRequest Request = this->newRequest();
   Request.ReplicatedCursor = this->ReplicatedStaging.cursor();
   Request.MemberCursor = this->MemberStaging.cursor();
   if (this->Refusal)
@@ -90,6 +104,12 @@
   // them.
   if (To.DataOnly)
     return Request;
+  this->ReportAt.reset();
+  this->addUplinkTo(Request, Now);
+  return Request;
+}
+
+void SyncClient::addUplinkTo(SyncRequest &Request, Instant Now) {
   this->Pending.dropRenewalsBefore(Now - this->Options.MaxRenewalAge);
   Request.Uplink = std::exchange(this->Pending, UplinkBatch());
   this->Unanswered[Request.Sequence] = Request.Uplink;
@@ -98,7 +118,6 @@
     this->Unanswered.erase(this->Unanswered.begin());
   }
   this->addOwnReports(Request.Uplink, Now);
-  return Request;
 }
 
 void SyncClient::addOwnReports(UplinkBatch &Batch, Instant Now) {
@@ -127,13 +146,10 @@
   this->Unanswered.erase(Response.Sequence);
   if (!this->InFlight || Response.Sequence < this->FirstSequenceAtParent)
     return;
-  if (Response.Sequence != this->Sequence) {
+  if (Response.Sequence != this->DataSequence) {
     if (Response.ReplicatedChunk)
       ++this->Transfers.SupersededChunks;
-    this->restartAnswerTimeout(Now);
-    // With a report in each hold time every request is replaced, so the answers
-    // to replaced requests are the only information about the parent.
-    if (!this->AskedConfirmation)
+    if (!this->AskedConfirmation && !Response.RetryAfter)
       this->evaluateParent(Response, Now);
     return;
   }
@@ -286,7 +302,9 @@
 }
 
 void SyncClient::onFailure(std::uint64_t Failed, Instant Now) {
-  if (!this->InFlight || Failed != this->Sequence)
+  if (Failed != this->DataSequence)
+    return this->restoreReport(Failed, Now);
+  if (!this->InFlight)
     return;
   this->ParentChangeReason = "request failed";
   this->retryNextParent(Now);
@@ -312,6 +330,18 @@
     this->AnnouncedAt.reset();
 }
 
+void SyncClient::restoreReport(std::uint64_t Failed, Instant Now) {
+  auto Found = this->Unanswered.find(Failed);
+  if (Found == this->Unanswered.end())
+    return;
+  this->Pending.merge(Found->second);
+  this->Unanswered.erase(Found);
+  this->CountersSentAt.reset();
+  if (!this->announced())
+    this->AnnouncedAt.reset();
+  this->scheduleReport(Now + this->Selector.options().MinBackOff, Now);
+}
+
 void SyncClient::finishRequest() {
   this->InFlight = false;
   this->AnswerDeadline.reset();
@@ -319,7 +349,9 @@
 
 void SyncClient::onRedirect(std::uint64_t Redirected, const Endpoint &Leader,
                             Instant Now) {
-  if (!this->InFlight || Redirected != this->Sequence)
+  if (Redirected != this->DataSequence)
+    return this->restoreReport(Redirected, Now);
+  if (!this->InFlight)
     return;
   if (Leader.empty() || ++this->Redirects > MaxRedirects) {
     this->Redirects = 0;
@@ -342,23 +374,27 @@
   }
   if (this->SendAt && Now >= *this->SendAt)
     this->send(Now);
+  if (this->ReportAt && Now >= *this->ReportAt)
+    this->sendReport(Now);
 }
 
 std::optional<Instant> SyncClient::nextDeadline() const {
-  if (this->SendAt && this->AnswerDeadline)
-    return std::min(*this->SendAt, *this->AnswerDeadline);
-  return this->SendAt ? this->SendAt : this->AnswerDeadline;
+  std::optional<Instant> Next;
+  for (const auto &Due : {this->SendAt, this->ReportAt, this->AnswerDeadline})
+    if (Due && (!Next || *Due < *Next))
+      Next = Due;
+  return Next;
 }
 
-void SyncClient::interrupt(Instant When, Instant Now) {
-  // No request is in flight; the next retry carries the reports.
+void SyncClient::scheduleReport(Instant When, Instant Now) {
+  // Without a request in flight, the next one carries the reports.
   if (!this->InFlight)
     return;
-  When = std::max(When, this->LastSent + this->Options.MinInterruptGap);
-  if (!this->SendAt || When < *this->SendAt)
-    this->SendAt = When;
-  if (Now >= *this->SendAt)
-    this->send(Now);
+  When = std::max(When, this->LastSent + this->Options.MinReportGap);
+  if (!this->ReportAt || When < *this->ReportAt)
+    this->ReportAt = When;
+  if (Now >= *this->ReportAt)
+    this->sendReport(Now);
 }
 
 void SyncClient::announce(const Member &NewSelf, Instant Now) {
@@ -366,13 +402,13 @@
     return;
   this->Self = NewSelf;
   this->AnnouncedAt.reset();
-  this->interrupt(Now, Now);
+  this->scheduleReport(Now, Now);
 }
 
 void SyncClient::leave(Instant Now) {
   this->HasLeft = true;
   this->Self.Leaving = true;
-  this->interrupt(Now, Now);
+  this->scheduleReport(Now, Now);
 }
 
 void SyncClient::observe(std::optional<Json> NewCounters) {
@@ -383,18 +419,18 @@
 }
 
 void SyncClient::reportSoon(Instant Now) {
-  this->interrupt(Now + this->Options.ObservationLinger, Now);
+  this->scheduleReport(Now + this->Options.ObservationLinger, Now);
 }
 
 void SyncClient::addUplink(const UplinkBatch &Batch, Urgency BatchUrgency,
                            Instant Now) {
   this->Pending.merge(Batch);
   if (BatchUrgency == Urgency::Immediate)
-    this->interrupt(Now, Now);
+    this->scheduleReport(Now, Now);
   else if (BatchUrgency == Urgency::Soon)
-    this->interrupt(Now + this->Options.UplinkLinger, Now);
+    this->scheduleReport(Now + this->Options.UplinkLinger, Now);
   else if (BatchUrgency == Urgency::Later)
-    this->interrupt(Now + this->Options.ObservationLinger, Now);
+    this->scheduleReport(Now + this->Options.ObservationLinger, Now);
 }
 
 Duration SyncClient::sourceAge(Instant Now) const {
--- a/src/libdistribution/syncclient.h
+++ b/src/libdistribution/syncclient.h
@@ -21,9 +21,8 @@
   Duration UplinkLinger = std::chrono::milliseconds(100);
   /// Observations of this node and of its children are collected for this time.
   Duration ObservationLinger = std::chrono::milliseconds(200);
-  /// Minimum time between two requests when one replaces a request that is
-  /// parked at the parent.
-  Duration MinInterruptGap = std::chrono::milliseconds(20);
+  /// Minimum time between a request and a report that follows it.
+  Duration MinReportGap = std::chrono::milliseconds(20);
   /// An announcement that the member table does not contain after this time is
   /// sent again.
   Duration AnnounceRetry = std::chrono::seconds(2);
@@ -38,7 +37,8 @@
 /// Chunks of the replicated state since the start of the client.
 struct TransferCounters {
   std::uint64_t Chunks = 0;
-  /// Chunks that were not used, because they answered a replaced request.
+  /// Chunks that were not used, because they answered a request to an earlier
+  /// parent or one that had timed out.
   std::uint64_t SupersededChunks = 0;
   /// Transfers that began again before they were complete.
   std::uint64_t Restarts = 0;
@@ -57,9 +57,8 @@
 
 struct SyncClientHooks {
   /// Sends a request and reports the result through SyncClient::onResponse,
-  /// onFailure or onRedirect. The request may replace one in flight; the
-  /// transport sends it on another connection and need not cancel the earlier
-  /// exchange, because the parent answers that one when the new one arrives.
+  /// onFailure or onRedirect. Other requests may be in flight; the transport
+  /// sends each on a connection of its own.
   std::function<void(const Endpoint &To, const SyncRequest &Request)> Send;
   /// Checks that all references within the staged replicated state resolve.
   std::function<Result<void>(const ResourceMap &)> CheckReferences;
@@ -75,6 +74,10 @@
 
 /// Child side of the sync protocol, run by every node. On a relay, the node's
 /// SyncServer serves the state that this client maintains.
+///
+/// One request for data is in flight at a time; the parent holds it until there
+/// is news. Reports that cannot wait for the next one are sent as requests of
+/// their own, which never delay or replace the transfer of data.
 class SyncClient {
 public:
   /// \param Self The node itself; it is announced until \a leave.
@@ -145,14 +148,18 @@
              ParentSelector Selector, SyncClientOptions Options,
              SyncClientHooks Hooks);
   void send(Instant Now);
+  void sendReport(Instant Now);
   /// Restarts the time within which the parent must answer.
   void restartAnswerTimeout(Instant Now);
   SyncRequest buildRequest(const ParentSelector::Choice &To, Instant Now);
+  SyncRequest newRequest();
+  void addUplinkTo(SyncRequest &Request, Instant Now);
   void addOwnReports(UplinkBatch &Batch, Instant Now);
   void finishRequest();
   void retryNextParent(Instant Now);
   void restoreUnanswered();
-  void interrupt(Instant When, Instant Now);
+  void restoreReport(std::uint64_t Failed, Instant Now);
+  void scheduleReport(Instant When, Instant Now);
   void installChunks(const SyncResponse &Response, Instant Now);
   bool installReplicatedChunk(const SyncResponse &Response, Instant Now);
   void countChunk(const TableChunk &Chunk, Instant Now);
@@ -177,15 +184,19 @@
   std::map<std::uint64_t, UplinkBatch> Unanswered;
   Endpoint Target;
   std::uint64_t Sequence = 0;
+  /// Sequence of the newest request for data.
+  std::uint64_t DataSequence = 0;
   /// Sequence of the first in an unbroken series of requests to this parent.
   std::uint64_t FirstSequenceAtParent = 0;
   std::uint64_t AnnounceSequence = 0;
   std::uint32_t Redirects = 0;
+  /// A request for data has no answer yet.
   bool InFlight = false;
   bool AskedConfirmation = false;
   bool HasLeft = false;
   bool WantsConfirmation = false;
   std::optional<Instant> SendAt;
+  std::optional<Instant> ReportAt;
   std::optional<Instant> AnswerDeadline;
   std::optional<Instant> AnnouncedAt;
   std::optional<Instant> LastSourceContact;
--- a/src/libdistribution/syncmessages.cpp
+++ b/src/libdistribution/syncmessages.cpp
@@ -79,6 +79,8 @@
     Value["fb"] = true;
   if (Request.WantsConfirmation)
     Value["wc"] = true;
+  if (Request.ReportOnly)
+    Value["ro"] = true;
   return Value;
 }
 
@@ -101,6 +103,7 @@
   Request.WantsParents = Fields.flag("wp");
   Request.Fallback = Fields.flag("fb");
   Request.WantsConfirmation = Fields.flag("wc");
+  Request.ReportOnly = Fields.flag("ro");
   if (Request.Node.empty())
     Fields.recordError("field n is empty");
   if (Fields.failure())
--- a/src/libdistribution/syncmessages.h
+++ b/src/libdistribution/syncmessages.h
@@ -43,6 +43,9 @@
   bool Fallback = false;
   /// The child requests a revision confirmed by a majority.
   bool WantsConfirmation = false;
+  /// Only \a Uplink counts: the request is answered at once, without chunks,
+  /// and does not replace the child's parked request.
+  bool ReportOnly = false;
 };
 
 struct SyncResponse {
--- a/src/libdistribution/syncserver.cpp
+++ b/src/libdistribution/syncserver.cpp
@@ -36,6 +36,8 @@
 
 void SyncServer::handle(const SyncRequest &Request, Instant Now,
                         Complete OnAnswer) {
+  if (Request.ReportOnly)
+    return this->handleReport(Request, Now, OnAnswer);
   auto Earlier = this->Parked.extract(Request.Node);
   if (!Earlier.empty()) {
     SyncResponse NoNews = this->statusFor(Earlier.mapped().Request, Now);
@@ -54,6 +56,14 @@
     this->Parked.insert_or_assign(Request.Node, std::move(Arriving));
 }
 
+void SyncServer::handleReport(const SyncRequest &Report, Instant Now,
+                              const Complete &OnAnswer) {
+  const Urgency BatchUrgency = this->collectUplink(Report);
+  if (this->Hooks.OnUplink)
+    this->Hooks.OnUplink(BatchUrgency);
+  OnAnswer(this->statusFor(Report, Now));
+}
+
 void SyncServer::abandon(const NodeName &Node, std::uint64_t Sequence) {
   auto Found = this->Parked.find(Node);
   if (Found != this->Parked.end() && Found->second.Request.Sequence == Sequence)
--- a/src/libdistribution/syncserver.h
+++ b/src/libdistribution/syncserver.h
@@ -53,7 +53,8 @@
 
   /// Answers through \a OnAnswer: at once when the child needs an update,
   /// otherwise when a change arrives or the hold time ends. A parked request of
-  /// the same node is answered first, without an update.
+  /// the same node is answered first, without an update. A report is always
+  /// answered at once and leaves a parked request as it is.
   void handle(const SyncRequest &Request, Instant Now, Complete OnAnswer);
   /// Drops a parked request without an answer, because its connection closed.
   void abandon(const NodeName &Node, std::uint64_t Sequence);
@@ -85,6 +86,8 @@
 
   SyncServer(const DistributedState &State, SyncServerOptions Options,
              SyncServerHooks Hooks);
+  void handleReport(const SyncRequest &Report, Instant Now,
+                    const Complete &OnAnswer);
   Urgency collectUplink(const SyncRequest &Request);
   bool admit(const SyncRequest &Request, Instant Now, const Complete &OnAnswer);
   std::optional<Revision> confirmation(const ParkedRequest &Waiting) const;
--- a/tests/libdistribution/test_syncserver.cpp
+++ b/tests/libdistribution/test_syncserver.cpp
@@ -85,6 +85,24 @@
   CHECK(F.Server->parked() == 0);
 }
 
+TEST_CASE("A report is answered at once and leaves the parked request") {
+  // Guards against a report that ends the wait for the next revision.
+  Fixture F;
+  F.ask(F.makeRequest("a", 1));
+  SyncRequest Report = F.makeRequest("a", 1);
+  Report.ReportOnly = true;
+  Report.Uplink.renew(SessionId(4), Revision(1), F.Now);
+  REQUIRE(F.ask(Report) == 1);
+  CHECK(F.Answers.back().Sequence == Report.Sequence);
+  CHECK(F.Server->parked() == 1);
+  CHECK(F.Server->takeUplink().renewals().contains(SessionId(4)));
+  F.change(2);
+  F.Server->wake(F.Now);
+  REQUIRE(F.Answers.size() == 2);
+  CHECK(F.Answers.back().Sequence == 1);
+  CHECK(F.Answers.back().ReplicatedChunk.has_value());
+}
+
 TEST_CASE("A child that is ahead or refused the revision gets no update") {
   // Guards against a child that returns to an older revision, and against a
   // tight loop of transfers that the child refuses each time.
