Distribution: do not take a response that still arrives for silence

A parent that had not answered within its hold time and a second counted as failed. A chunk over a link of 9 Mbit/s that carries calls too can take longer; the node then went to the next parent, where the transfer began behind others.

The new case fails without the change.

Bytes of the response now restart the timeout. The transport still ends a request after 5 s.

--- a/src/amaranthward/nodedistribution.cpp
+++ b/src/amaranthward/nodedistribution.cpp
@@ -68,6 +68,9 @@
   TransportHooks.OnResponse = [this](const SyncResponse &Response) {
     this->Client->onResponse(Response, this->Loop.now());
   };
+  TransportHooks.OnProgress = [this](std::uint64_t Sequence) {
+    this->Client->onProgress(Sequence, this->Loop.now());
+  };
   TransportHooks.OnFailure = [this](std::uint64_t Sequence) {
     this->Client->onFailure(Sequence, this->Loop.now());
   };
--- a/src/amaranthward/synctransport.cpp
+++ b/src/amaranthward/synctransport.cpp
@@ -24,12 +24,14 @@
   Head.Target = "/v1/sync";
   Head.Headers.add("Content-Type", "application/json");
   std::uint64_t Sequence = Request.Sequence;
-  this->Client.call(To, Head, std::move(Body), Timeout, MaxResponseBytes,
-                    [this, Sequence](Result<HttpResponse> Done) {
-                      if (!Done)
-                        return this->Callbacks.OnFailure(Sequence);
-                      this->onDone(Sequence, *Done);
-                    });
+  this->Client.call(
+      To, Head, std::move(Body), Timeout, MaxResponseBytes,
+      [this, Sequence](Result<HttpResponse> Done) {
+        if (!Done)
+          return this->Callbacks.OnFailure(Sequence);
+        this->onDone(Sequence, *Done);
+      },
+      [this, Sequence] { this->Callbacks.OnProgress(Sequence); });
 }
 
 void SyncTransport::onDone(std::uint64_t Sequence, const HttpResponse &Done) {
--- a/src/amaranthward/synctransport.h
+++ b/src/amaranthward/synctransport.h
@@ -12,6 +12,8 @@
 public:
   struct Hooks {
     std::function<void(const SyncResponse &)> OnResponse;
+    /// Bytes of the answer to the request with this sequence number arrived.
+    std::function<void(std::uint64_t Sequence)> OnProgress;
     /// No usable answer to the request with this sequence number.
     std::function<void(std::uint64_t Sequence)> OnFailure;
     /// The replica is not the leader; \a Leader is empty when it is unknown.
--- a/src/libdistribution/syncclient.cpp
+++ b/src/libdistribution/syncclient.cpp
@@ -301,6 +301,11 @@
                                Tree.otherRoots(this->Self.Node));
 }
 
+void SyncClient::onProgress(std::uint64_t ReceivedFor, Instant Now) {
+  if (this->InFlight && ReceivedFor == this->DataSequence)
+    this->restartAnswerTimeout(Now);
+}
+
 void SyncClient::onFailure(std::uint64_t Failed, Instant Now) {
   if (Failed != this->DataSequence)
     return this->restoreReport(Failed, Now);
--- a/src/libdistribution/syncclient.h
+++ b/src/libdistribution/syncclient.h
@@ -94,6 +94,8 @@
   void start(Instant Now);
   /// Handles the response to a request sent through SyncClientHooks::Send.
   void onResponse(const SyncResponse &Response, Instant Now);
+  /// Restarts the answer timeout while the response to a request arrives.
+  void onProgress(std::uint64_t ReceivedFor, Instant Now);
   /// Handles a failed request or a closed connection.
   void onFailure(std::uint64_t Sequence, Instant Now);
   /// Handles a redirect of a control replica to the leader (status 421 with
--- a/src/libnet/httpclient.cpp
+++ b/src/libnet/httpclient.cpp
@@ -90,7 +90,8 @@
 
   void call(const Endpoint &Address, const HttpRequestHead &Head,
             std::string Body, Duration Timeout, std::size_t MaxBytes,
-            std::function<void(Result<HttpResponse>)> OnDone) override;
+            std::function<void(Result<HttpResponse>)> OnDone,
+            std::function<void()> OnProgress) override;
 
   std::size_t openConnections(const Endpoint &Address) const override {
     return static_cast<std::size_t>(std::count_if(
@@ -218,7 +219,8 @@
 
 void Client::call(const Endpoint &Address, const HttpRequestHead &Head,
                   std::string Body, Duration Timeout, std::size_t MaxBytes,
-                  std::function<void(Result<HttpResponse>)> OnDone) {
+                  std::function<void(Result<HttpResponse>)> OnDone,
+                  std::function<void()> OnProgress) {
   auto State = std::make_shared<Collected>();
   State->OnDone = std::move(OnDone);
   EventLoop &Loop = this->Loop;
@@ -226,7 +228,9 @@
   Hooks.OnHead = [State](const HttpResponseHead &Received) {
     State->Response.Head = Received;
   };
-  Hooks.OnBody = [State, MaxBytes, &Loop](std::string_view Data) {
+  Hooks.OnBody = [State, MaxBytes, &Loop, OnProgress](std::string_view Data) {
+    if (OnProgress)
+      OnProgress();
     if (State->Response.Body.size() + Data.size() > MaxBytes)
       State->end(Loop, fail(ErrorCode::Exhausted, "the response is too large"));
     else
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -90,9 +90,11 @@
 
   /// Sends a whole request and collects a response of at most \a MaxBytes.
   /// Fails with Timeout when it is not complete within \a Timeout.
+  /// \param OnProgress called whenever bytes of the body arrive.
   virtual void call(const Endpoint &Address, const HttpRequestHead &Head,
                     std::string Body, Duration Timeout, std::size_t MaxBytes,
-                    std::function<void(Result<HttpResponse>)> OnDone) = 0;
+                    std::function<void(Result<HttpResponse>)> OnDone,
+                    std::function<void()> OnProgress = {}) = 0;
 
   virtual std::size_t openConnections(const Endpoint &Address) const = 0;
   virtual std::uint64_t bytesIn() const = 0;
--- a/tests/libdistribution/test_syncclient.cpp
+++ b/tests/libdistribution/test_syncclient.cpp
@@ -230,6 +230,22 @@
   CHECK(F.State.inForce() == Revision(1));
 }
 
+TEST_CASE("A response that still arrives is not taken for silence") {
+  // Guards against a transfer over a narrow link that begins again at another
+  // parent each time.
+  Fixture F;
+  F.change({{"a", 1U}}, 1);
+  const SyncResponse Slow = F.answer();
+  for (int Step = 0; Step < 40; ++Step) {
+    F.Now += 100ms;
+    F.Client->onProgress(Slow.Sequence, F.Now);
+    F.Client->tick(F.Now);
+  }
+  CHECK(F.Requests.size() == 1);
+  F.Client->onResponse(Slow, F.Now);
+  CHECK(F.State.inForce() == Revision(1));
+}
+
 TEST_CASE("A parent that answers only reports is left") {
   // Guards against waiting forever on a silent connection to a parent that
   // answers on other connections.
