Distribution: the cost of a revision follows the change, not the set

A node that put a revision in force copied all resources, built the routing view of the copy to check it, installed the changes and built the view once more. A change of seven routes in a set of 2,200 cost as much as all of them.

RoutingView::prepare checks a list of changes against the view in force, and commit applies them in place; copies of a view keep their content. The order of routes with the same match is by name now, so that it does not depend on the history of a node. create() goes through the same two steps. A randomized case compares a view that follows changes with one built anew, refusals included.

The hook CheckReferences, which needed the whole staged state, is CheckChanges.

--- a/bench/configuration/main.cpp
+++ b/bench/configuration/main.cpp
@@ -67,8 +67,9 @@
 void checkOneChange(benchmark::State &State) {
   const ResourceTable Table = tableOf(State.range(0), 1);
   const TableStaging Staged = stagedAfter(State.range(0), 1);
+  const RoutingView View = *RoutingView::create(Table.resources());
   for (auto _ : State)
-    benchmark::DoNotOptimize(RoutingView::create(Staged.preview(Table)));
+    benchmark::DoNotOptimize(View.prepare(Staged.changesTo(Table)));
 }
 
 /// Node: installs one changed route into the table in force.
@@ -84,6 +85,15 @@
   }
 }
 
+/// Node: puts one changed route in force in the routing view.
+void commitOneChange(benchmark::State &State) {
+  const ResourceTable Table = tableOf(State.range(0), 1);
+  const TableStaging Staged = stagedAfter(State.range(0), 1);
+  RoutingView View = *RoutingView::create(Table.resources());
+  for (auto _ : State)
+    View.commit(*View.prepare(Staged.changesTo(Table)));
+}
+
 /// Node: builds the routing view of the whole table.
 void buildView(benchmark::State &State) {
   const ResourceTable Table = tableOf(State.range(0), 1);
@@ -171,6 +181,7 @@
 #define SIZES Arg(100)->Arg(1500)->Arg(10000)->Unit(benchmark::kMillisecond)
 
 BENCHMARK(checkOneChange)->SIZES;
+BENCHMARK(commitOneChange)->SIZES;
 BENCHMARK(installOneChange)->SIZES;
 BENCHMARK(buildView)->SIZES;
 BENCHMARK(decodeAll)->SIZES;
--- a/src/amaranthward/nodedistribution.cpp
+++ b/src/amaranthward/nodedistribution.cpp
@@ -116,13 +116,8 @@
     }
     this->Transport->send(To, Request);
   };
-  Made.CheckReferences = [this](const ResourceMap &Staged) -> Result<void> {
-    const Instant Start = this->Loop.now();
-    auto Checked = RoutingView::create(Staged);
-    this->CheckTook = this->Loop.now() - Start;
-    if (!Checked)
-      return tl::make_unexpected(Checked.error());
-    return {};
+  Made.CheckChanges = [this](const std::vector<ResourceUpdate> &Changes) {
+    return this->prepare(Changes);
   };
   Made.MayApply = [this](const ClusterId &Cluster, Revision Next) {
     return this->Guard.mayApply(Cluster, Next);
@@ -148,19 +143,25 @@
   return Made;
 }
 
+Result<void>
+NodeDistribution::prepare(const std::vector<ResourceUpdate> &Changes) {
+  const Instant Start = this->Loop.now();
+  auto Prepared = this->View ? this->View->prepare(Changes)
+                             : RoutingView::create({})->prepare(Changes);
+  this->CheckTook = this->Loop.now() - Start;
+  if (!Prepared)
+    return tl::make_unexpected(Prepared.error());
+  this->PreparedUpdate = std::move(*Prepared);
+  return {};
+}
+
 void NodeDistribution::onChanged(bool Replicated, bool Members) {
   if (Replicated) {
     const Instant Start = this->Loop.now();
-    auto Made = RoutingView::create(this->State.Replicated.resources());
-    if (!Made) {
-      // Not expected: CheckReferences accepted the state before it was applied.
-      logFor("config")->error(
-          "The applied state is inconsistent and the previous routing view "
-          "stays in use: {}.",
-          Made.error().Message);
-      return;
-    }
-    this->View = std::make_shared<const RoutingView>(std::move(*Made));
+    if (!this->View)
+      this->View = std::make_shared<RoutingView>(*RoutingView::create({}));
+    this->View->commit(std::move(*this->PreparedUpdate));
+    this->PreparedUpdate.reset();
     this->Guard.recordApplied(this->State.Cluster, this->inForce());
     this->InForceLog.push_back({this->inForce(), wallNow()});
     if (this->InForceLog.size() > MaxInForceLog)
--- a/src/amaranthward/nodedistribution.h
+++ b/src/amaranthward/nodedistribution.h
@@ -47,7 +47,8 @@
   void observe(std::optional<Json> Counters);
 
   /// Routing view of the state in force; null before the first state.
-  const std::shared_ptr<const RoutingView> &view() const { return this->View; }
+  /// The same object follows all revisions.
+  std::shared_ptr<const RoutingView> view() const { return this->View; }
   std::vector<Member> members() const;
   std::vector<DepartedMember> departed() const;
   Revision inForce() const { return this->State.inForce(); }
@@ -85,6 +86,8 @@
   Result<void> build();
   SyncClientHooks clientHooks();
   SyncServerHooks serverHooks();
+  /// Checks the staged revision and keeps the result for \a onChanged.
+  Result<void> prepare(const std::vector<ResourceUpdate> &Changes);
   /// The flags tell which table changed.
   void onChanged(bool Replicated, bool Members);
   /// \param ViewTook time to build the routing view.
@@ -105,7 +108,9 @@
   std::unique_ptr<SyncClient> Client;
   std::unique_ptr<SyncServer> Server;
   std::optional<SyncEndpoint> ChildEndpoint;
-  std::shared_ptr<const RoutingView> View;
+  std::shared_ptr<RoutingView> View;
+  /// The staged revision, checked against \a View.
+  std::optional<RoutingView::Update> PreparedUpdate;
   /// Newest revision that was confirmed to be current.
   std::optional<Revision> ConfirmedRevision;
   std::deque<InForceEntry> InForceLog;
--- a/src/libconfig/routetable.cpp
+++ b/src/libconfig/routetable.cpp
@@ -16,6 +16,13 @@
   return Segment;
 }
 
+// A prefix matches on a segment boundary, with a slash at its end or not.
+std::string_view withoutLastSlash(std::string_view Prefix) {
+  if (Prefix.ends_with('/'))
+    Prefix.remove_suffix(1);
+  return Prefix;
+}
+
 // Lower case, without the port.
 std::string hostKey(std::string_view Host) {
   std::size_t Colon = Host.rfind(':');
@@ -31,17 +38,42 @@
 
 void RouteTable::add(const RouteSpec &Route) {
   Level *At = &this->Hosts[hostKey(Route.Host)];
-  std::string_view Rest = Route.PathPrefix;
-  // A prefix matches on a segment boundary, with a slash at its end or not.
-  if (Rest.ends_with('/'))
-    Rest.remove_suffix(1);
+  std::string_view Rest = withoutLastSlash(Route.PathPrefix);
   while (!Rest.empty()) {
     auto &Child = At->Children[std::string(takeSegment(Rest))];
     if (!Child)
       Child = std::make_unique<Level>();
     At = Child.get();
   }
-  At->Routes.push_back(&Route);
+  auto Place =
+      std::lower_bound(At->Routes.begin(), At->Routes.end(), Route.Name,
+                       [](const RouteSpec *Each, const RouteName &Name) {
+                         return Each->Name < Name;
+                       });
+  At->Routes.insert(Place, &Route);
+}
+
+void RouteTable::remove(const RouteSpec &Route) {
+  auto Host = this->Hosts.find(hostKey(Route.Host));
+  if (Host == this->Hosts.end())
+    return;
+  removeBelow(Host->second, withoutLastSlash(Route.PathPrefix), Route);
+  if (Host->second.empty())
+    this->Hosts.erase(Host);
+}
+
+void RouteTable::removeBelow(Level &At, std::string_view Rest,
+                             const RouteSpec &Route) {
+  if (Rest.empty()) {
+    std::erase(At.Routes, &Route);
+    return;
+  }
+  auto Child = At.Children.find(takeSegment(Rest));
+  if (Child == At.Children.end())
+    return;
+  removeBelow(*Child->second, Rest, Route);
+  if (Child->second->empty())
+    At.Children.erase(Child);
 }
 
 const RouteSpec *RouteTable::pick(const Level &At, std::string_view Method) {
--- a/src/libconfig/routetable.h
+++ b/src/libconfig/routetable.h
@@ -15,9 +15,11 @@
 /// path is.
 class RouteTable {
 public:
-  /// \param Route must outlive the table. Of two routes with the same match,
-  /// the first one is kept.
+  /// \param Route must outlive the table or be removed. Of two routes with the
+  /// same match, the one with the lower name is used.
   void add(const RouteSpec &Route);
+  /// \param Route as it was added.
+  void remove(const RouteSpec &Route);
 
   /// See RoutingView::matchRoute.
   const RouteSpec *match(std::string_view Method, std::string_view Host,
@@ -26,9 +28,18 @@
 private:
   struct Level {
     std::map<std::string, std::unique_ptr<Level>, std::less<>> Children;
+    /// By name, so that the order does not depend on the history.
     std::vector<const RouteSpec *> Routes;
+
+    bool empty() const {
+      return this->Children.empty() && this->Routes.empty();
+    }
   };
 
+  /// Removes \a Route, whose prefix below \a At is \a Rest, and levels that
+  /// become empty.
+  static void removeBelow(Level &At, std::string_view Rest,
+                          const RouteSpec &Route);
   static const RouteSpec *pick(const Level &At, std::string_view Method);
   static const RouteSpec *matchBelow(const Level &Root, std::string_view Method,
                                      std::string_view Path);
--- a/src/libconfig/routingview.cpp
+++ b/src/libconfig/routingview.cpp
@@ -9,35 +9,48 @@
 
 namespace amaranthward {
 
-struct RoutingView::Content {
+/// All resources except the routes.
+struct RoutingView::MeshPart {
   OperatorVersion Version;
   std::string Digest;
   MeshLimits Limits;
   std::map<ZoneName, ZoneSpec> Zones;
   std::map<ServiceName, ServiceSpec> Services;
-  std::map<RouteName, RouteSpec> Routes;
   std::map<ServiceName, std::map<VersionName, Share>> Splits;
   std::map<ServiceName, Json> Moves;
   std::set<std::pair<ServiceName, VersionName>> Bad;
+  /// Zones that an order took out of service.
+  std::set<ZoneName> ZonesOrderedOut;
+  /// The same and those that the set takes out.
   std::set<ZoneName> ZonesOutOfService;
-  RouteTable Table;
   bool HasSet = false;
   bool HasMesh = false;
 
   Result<void> read(const std::string &Key, const Json &Value);
-  Result<void> checkClosure() const;
+  void erase(const std::string &Key);
+  void findZonesOutOfService();
+  /// Checks the services of one route.
+  Result<void> checkRoute(const RouteName &Name, const RouteSpec &Route) const;
+  Result<void> checkClosure(bool HasRoutes) const;
 
 private:
   Result<void> readSet(const Json &Value);
   Result<void> readNamed(const std::string &Kind, const std::string &Name,
                          const Json &Value);
   Result<void> readSplit(const ServiceName &Name, const Json &Value);
-  void readBad(const std::string &Name);
-  Result<void> checkRoutes() const;
   Result<void> checkServices() const;
   Result<void> checkSplits() const;
 };
 
+struct RoutingView::Content {
+  MeshPart Mesh;
+  std::map<RouteName, RouteSpec> Routes;
+  RouteTable Table;
+
+  std::shared_ptr<Content> copy() const;
+  void setRoute(const RouteName &Name, std::optional<RouteSpec> Value);
+};
+
 namespace {
 
 tl::unexpected<Error> misfit(const std::string &Key,
@@ -45,6 +58,17 @@
   return fail(ErrorCode::InvalidArgument, "resource " + Key + ": " + Problem);
 }
 
+constexpr std::string_view RoutePrefix = "route/";
+
+/// Reads "service/version"; without a slash both parts are empty.
+std::pair<ServiceName, VersionName> serviceVersionIn(const std::string &Name) {
+  std::size_t Slash = Name.find('/');
+  if (Slash == std::string::npos)
+    return {};
+  return {ServiceName(Name.substr(0, Slash)),
+          VersionName(Name.substr(Slash + 1))};
+}
+
 // Stores a parsed value, or fails with the key in the message.
 template <typename Map, typename Name, typename Value>
 Result<void> store(Map &Target, const Name &Key, Result<Value> Parsed) {
@@ -56,8 +80,8 @@
 
 } // namespace
 
-Result<void> RoutingView::Content::read(const std::string &Key,
-                                        const Json &Value) {
+Result<void> RoutingView::MeshPart::read(const std::string &Key,
+                                         const Json &Value) {
   std::size_t Slash = Key.find('/');
   Result<void> Done;
   if (Key == "set") {
@@ -76,7 +100,7 @@
   return {};
 }
 
-Result<void> RoutingView::Content::readSet(const Json &Value) {
+Result<void> RoutingView::MeshPart::readSet(const Json &Value) {
   JsonFields Fields(Value);
   this->Version = OperatorVersion(Fields.number("version"));
   this->Digest = Fields.text("digest");
@@ -86,31 +110,59 @@
   return {};
 }
 
-Result<void> RoutingView::Content::readNamed(const std::string &Kind,
-                                             const std::string &Name,
-                                             const Json &Value) {
+Result<void> RoutingView::MeshPart::readNamed(const std::string &Kind,
+                                              const std::string &Name,
+                                              const Json &Value) {
   if (Kind == "zone")
     return store(this->Zones, ZoneName(Name),
                  zoneFromJson(ZoneName(Name), Value));
   if (Kind == "service")
     return store(this->Services, ServiceName(Name),
                  serviceFromJson(ServiceName(Name), Value));
-  if (Kind == "route")
-    return store(this->Routes, RouteName(Name),
-                 routeFromJson(RouteName(Name), Value));
   if (Kind == "split")
     return this->readSplit(ServiceName(Name), Value);
   if (Kind == "move")
     this->Moves[ServiceName(Name)] = Value;
   if (Kind == "bad")
-    this->readBad(Name);
+    this->Bad.insert(serviceVersionIn(Name));
   if (Kind == "zone-out")
-    this->ZonesOutOfService.emplace(Name);
+    this->ZonesOrderedOut.emplace(Name);
   return {};
 }
 
-Result<void> RoutingView::Content::readSplit(const ServiceName &Name,
-                                             const Json &Value) {
+void RoutingView::MeshPart::erase(const std::string &Key) {
+  std::size_t Slash = Key.find('/');
+  if (Key == "set") {
+    this->HasSet = false;
+  } else if (Key == "mesh") {
+    this->HasMesh = false;
+  } else if (Slash != std::string::npos) {
+    std::string Kind = Key.substr(0, Slash);
+    std::string Name = Key.substr(Slash + 1);
+    if (Kind == "zone")
+      this->Zones.erase(ZoneName(Name));
+    if (Kind == "service")
+      this->Services.erase(ServiceName(Name));
+    if (Kind == "split")
+      this->Splits.erase(ServiceName(Name));
+    if (Kind == "move")
+      this->Moves.erase(ServiceName(Name));
+    if (Kind == "bad")
+      this->Bad.erase(serviceVersionIn(Name));
+    if (Kind == "zone-out")
+      this->ZonesOrderedOut.erase(ZoneName(Name));
+  }
+}
+
+void RoutingView::MeshPart::findZonesOutOfService() {
+  this->ZonesOutOfService = this->ZonesOrderedOut;
+  for (const auto &[Name, Zone] : this->Zones)
+    if (!Zone.InService)
+      this->ZonesOutOfService.insert(Name);
+}
+
+Result<void> RoutingView::MeshPart::readSplit(const ServiceName &Name,
+                                              const Json &Value) {
   JsonFields Fields(Value);
   auto Shares = sharesFromJson(Fields.object("shares"));
   if (!Fields.good())
@@ -118,39 +170,33 @@
   return store(this->Splits, Name, std::move(Shares));
 }
 
-void RoutingView::Content::readBad(const std::string &Name) {
-  std::size_t Slash = Name.find('/');
-  if (Slash != std::string::npos)
-    this->Bad.emplace(ServiceName(Name.substr(0, Slash)),
-                      VersionName(Name.substr(Slash + 1)));
-}
-
-Result<void> RoutingView::Content::checkClosure() const {
-  bool IsEmpty = this->Zones.empty() && this->Services.empty() &&
-                 this->Routes.empty() && this->Splits.empty();
+Result<void> RoutingView::MeshPart::checkClosure(bool HasRoutes) const {
+  bool IsEmpty = this->Zones.empty() && this->Services.empty() && !HasRoutes &&
+                 this->Splits.empty();
   if (!IsEmpty && !this->HasSet)
     return misfit("set", "is missing");
   if (!IsEmpty && !this->HasMesh)
     return misfit("mesh", "is missing");
-  return this->checkRoutes()
-      .and_then([this] { return this->checkServices(); })
-      .and_then([this] { return this->checkSplits(); });
-}
-
-Result<void> RoutingView::Content::checkRoutes() const {
-  for (const auto &[Name, Route] : this->Routes) {
-    if (!this->Services.contains(Route.Service))
-      return misfit("route/" + Name.str(),
-                    "service " + Route.Service.str() + " is missing");
-    for (const RoutePart &Part : Route.Parts)
-      if (!this->Services.contains(Part.Service))
-        return misfit("route/" + Name.str(),
-                      "service " + Part.Service.str() + " is missing");
-  }
+  return this->checkServices().and_then([this] { return this->checkSplits(); });
+}
+
+Result<void> RoutingView::MeshPart::checkRoute(const RouteName &Name,
+                                               const RouteSpec &Route) const {
+  auto Check = [this, &Name](const ServiceName &Service) -> Result<void> {
+    if (this->Services.contains(Service))
+      return {};
+    return misfit("route/" + Name.str(),
+                  "service " + Service.str() + " is missing");
+  };
+  if (auto Done = Check(Route.Service); !Done)
+    return Done;
+  for (const RoutePart &Part : Route.Parts)
+    if (auto Done = Check(Part.Service); !Done)
+      return Done;
   return {};
 }
 
-Result<void> RoutingView::Content::checkServices() const {
+Result<void> RoutingView::MeshPart::checkServices() const {
   for (const auto &[Name, Service] : this->Services) {
     for (const ServiceName &Dependency : Service.DependsOn) {
       if (!this->Services.contains(Dependency))
@@ -164,7 +210,7 @@
   return {};
 }
 
-Result<void> RoutingView::Content::checkSplits() const {
+Result<void> RoutingView::MeshPart::checkSplits() const {
   for (const auto &[Name, Shares] : this->Splits) {
     std::string Key = "split/" + Name.str();
     auto Service = this->Services.find(Name);
@@ -185,23 +231,100 @@
   return {};
 }
 
-RoutingView::RoutingView(std::shared_ptr<const Content> Shared)
+std::shared_ptr<RoutingView::Content> RoutingView::Content::copy() const {
+  auto Copy = std::make_shared<Content>();
+  Copy->Mesh = this->Mesh;
+  Copy->Routes = this->Routes;
+  for (const auto &[Name, Route] : Copy->Routes)
+    Copy->Table.add(Route);
+  return Copy;
+}
+
+void RoutingView::Content::setRoute(const RouteName &Name,
+                                    std::optional<RouteSpec> Value) {
+  if (auto Old = this->Routes.find(Name); Old != this->Routes.end()) {
+    this->Table.remove(Old->second);
+    this->Routes.erase(Old);
+  }
+  if (Value)
+    this->Table.add(
+        this->Routes.emplace(Name, std::move(*Value)).first->second);
+}
+
+RoutingView::RoutingView(std::shared_ptr<Content> Shared)
     : Shared(std::move(Shared)) {}
 
 Result<RoutingView> RoutingView::create(const ResourceMap &Resources) {
-  auto Built = std::make_shared<Content>();
-  for (const auto &[Key, Value] : Resources) {
-    if (auto Done = Built->read(Key, Value); !Done)
+  RoutingView Built(std::make_shared<Content>());
+  std::vector<ResourceUpdate> All;
+  All.reserve(Resources.size());
+  for (const auto &[Key, Value] : Resources)
+    All.push_back({Key, &Value});
+  auto Prepared = Built.prepare(All);
+  if (!Prepared)
+    return tl::make_unexpected(Prepared.error());
+  Built.commit(std::move(*Prepared));
+  return Built;
+}
+
+Result<RoutingView::Update>
+RoutingView::prepare(const std::vector<ResourceUpdate> &Changes) const {
+  Update Next;
+  Next.Mesh = std::make_shared<MeshPart>(this->Shared->Mesh);
+  std::size_t RoutesLeft = this->Shared->Routes.size();
+  for (const ResourceUpdate &Change : Changes) {
+    std::string Key(Change.Key);
+    if (Key.starts_with(RoutePrefix)) {
+      RouteName Name(Key.substr(RoutePrefix.size()));
+      std::optional<RouteSpec> &Value = Next.Routes[Name];
+      if (this->Shared->Routes.contains(Name))
+        --RoutesLeft;
+      if (!Change.Value)
+        continue;
+      auto Parsed = routeFromJson(Name, *Change.Value);
+      if (!Parsed)
+        return misfit(Key, Parsed.error().Message);
+      Value = std::move(*Parsed);
+      ++RoutesLeft;
+    } else if (!Change.Value) {
+      Next.Mesh->erase(Key);
+    } else if (auto Done = Next.Mesh->read(Key, *Change.Value); !Done) {
       return tl::make_unexpected(Done.error());
+    }
   }
-  if (auto Done = Built->checkClosure(); !Done)
+  Next.Mesh->findZonesOutOfService();
+  auto Done = this->checkRoutes(Next).and_then(
+      [&Next, RoutesLeft] { return Next.Mesh->checkClosure(RoutesLeft > 0); });
+  if (!Done)
     return tl::make_unexpected(Done.error());
-  for (const auto &[Name, Route] : Built->Routes)
-    Built->Table.add(Route);
-  for (const auto &[Name, Zone] : Built->Zones)
-    if (!Zone.InService)
-      Built->ZonesOutOfService.insert(Name);
-  return RoutingView(std::move(Built));
+  return Next;
+}
+
+Result<void> RoutingView::checkRoutes(const Update &Next) const {
+  for (const auto &[Name, Route] : Next.Routes)
+    if (Route)
+      if (auto Done = Next.Mesh->checkRoute(Name, *Route); !Done)
+        return Done;
+  const auto &Services = this->Shared->Mesh.Services;
+  bool ServiceRemoved =
+      std::any_of(Services.begin(), Services.end(), [&Next](const auto &Each) {
+        return !Next.Mesh->Services.contains(Each.first);
+      });
+  if (!ServiceRemoved)
+    return {};
+  for (const auto &[Name, Route] : this->Shared->Routes)
+    if (!Next.Routes.contains(Name))
+      if (auto Done = Next.Mesh->checkRoute(Name, Route); !Done)
+        return Done;
+  return {};
+}
+
+void RoutingView::commit(Update Prepared) {
+  if (this->Shared.use_count() > 1)
+    this->Shared = this->Shared->copy();
+  this->Shared->Mesh = std::move(*Prepared.Mesh);
+  for (auto &[Name, Route] : Prepared.Routes)
+    this->Shared->setRoute(Name, std::move(Route));
 }
 
 const RouteSpec *RoutingView::matchRoute(std::string_view Method,
@@ -216,8 +339,8 @@
 }
 
 const ServiceSpec *RoutingView::service(const ServiceName &Name) const {
-  auto Found = this->Shared->Services.find(Name);
-  return Found == this->Shared->Services.end() ? nullptr : &Found->second;
+  auto Found = this->Shared->Mesh.Services.find(Name);
+  return Found == this->Shared->Mesh.Services.end() ? nullptr : &Found->second;
 }
 
 bool RoutingView::hasAnnouncedVersions(const ServiceName &Name) const {
@@ -235,38 +358,44 @@
 const std::map<VersionName, Share> &
 RoutingView::split(const ServiceName &Name) const {
   static const std::map<VersionName, Share> None;
-  auto Found = this->Shared->Splits.find(Name);
-  return Found == this->Shared->Splits.end() ? None : Found->second;
+  auto Found = this->Shared->Mesh.Splits.find(Name);
+  return Found == this->Shared->Mesh.Splits.end() ? None : Found->second;
 }
 
 bool RoutingView::zoneInService(const ZoneName &Name) const {
-  bool Named =
-      this->Shared->Zones.empty() || this->Shared->Zones.contains(Name);
-  return Named && !this->Shared->ZonesOutOfService.contains(Name);
+  bool Named = this->Shared->Mesh.Zones.empty() ||
+               this->Shared->Mesh.Zones.contains(Name);
+  return Named && !this->Shared->Mesh.ZonesOutOfService.contains(Name);
 }
 
 const std::set<ZoneName> &RoutingView::zonesOutOfService() const {
-  return this->Shared->ZonesOutOfService;
+  return this->Shared->Mesh.ZonesOutOfService;
 }
 
 bool RoutingView::isBad(const ServiceName &Service,
                         const VersionName &Version) const {
-  return this->Shared->Bad.contains({Service, Version});
+  return this->Shared->Mesh.Bad.contains({Service, Version});
 }
 
 const Json *RoutingView::openMove(const ServiceName &Name) const {
-  auto Found = this->Shared->Moves.find(Name);
-  return Found == this->Shared->Moves.end() ? nullptr : &Found->second;
+  auto Found = this->Shared->Mesh.Moves.find(Name);
+  return Found == this->Shared->Mesh.Moves.end() ? nullptr : &Found->second;
 }
 
-const MeshLimits &RoutingView::limits() const { return this->Shared->Limits; }
+const MeshLimits &RoutingView::limits() const {
+  return this->Shared->Mesh.Limits;
+}
 
-OperatorVersion RoutingView::version() const { return this->Shared->Version; }
+OperatorVersion RoutingView::version() const {
+  return this->Shared->Mesh.Version;
+}
 
-const std::string &RoutingView::digest() const { return this->Shared->Digest; }
+const std::string &RoutingView::digest() const {
+  return this->Shared->Mesh.Digest;
+}
 
 const std::map<ServiceName, ServiceSpec> &RoutingView::services() const {
-  return this->Shared->Services;
+  return this->Shared->Mesh.Services;
 }
 
 const std::map<RouteName, RouteSpec> &RoutingView::routes() const {
@@ -274,7 +403,7 @@
 }
 
 const std::map<ZoneName, ZoneSpec> &RoutingView::zones() const {
-  return this->Shared->Zones;
+  return this->Shared->Mesh.Zones;
 }
 
 } // namespace amaranthward
--- a/src/libconfig/routingview.h
+++ b/src/libconfig/routingview.h
@@ -5,16 +5,25 @@
 #include "libcore/resource.h"
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace amaranthward {
 
-/// Immutable view of the replicated state, for the data path. Copies share
-/// their content; a pointer or reference stays valid while any copy exists.
+/// View of the replicated state, for the data path. Copies share their content
+/// until one of them changes. A pointer or reference into a view stays valid
+/// until the view changes.
+///
+/// A change costs time in proportion to the routes that it touches and to the
+/// number of services and zones, not to the number of routes.
 class RoutingView {
 public:
+  /// Changes that passed the checks of the view that prepared them.
+  class Update;
+
   /// Checks the reference closure: the set, every route's service, every
   /// service's versions, dependencies and split, every split's service and
   /// versions. Keys with other prefixes, such as member/, are ignored. Fails
@@ -25,6 +34,12 @@
   /// whatever its value is. A service without versions needs no split.
   static Result<RoutingView> create(const ResourceMap &Resources);
 
+  /// Checks the state after \a Changes like \a create, without changing the
+  /// view.
+  Result<Update> prepare(const std::vector<ResourceUpdate> &Changes) const;
+  /// Applies an update that this view prepared last.
+  void commit(Update Prepared);
+
   /// The route with the longest path prefix that fits, on a segment boundary;
   /// for the same prefix, a route for \a Method before one for any method.
   /// \param Path without query. Nothing is decoded or normalised.
@@ -60,11 +75,25 @@
   const std::map<ZoneName, ZoneSpec> &zones() const;
 
 private:
+  struct MeshPart;
   struct Content;
 
-  explicit RoutingView(std::shared_ptr<const Content> Shared);
+  explicit RoutingView(std::shared_ptr<Content> Shared);
+  /// Checks the routes that an update changes, and all of them when it removes
+  /// a service.
+  Result<void> checkRoutes(const Update &Next) const;
+
+  /// Not changed while another copy of the view refers to it.
+  std::shared_ptr<Content> Shared;
+};
+
+class RoutingView::Update {
+private:
+  friend class RoutingView;
 
-  std::shared_ptr<const Content> Shared;
+  std::shared_ptr<MeshPart> Mesh;
+  /// New values by name; empty for a removed route.
+  std::map<RouteName, std::optional<RouteSpec>> Routes;
 };
 
 } // namespace amaranthward
--- a/src/libdistribution/syncclient.cpp
+++ b/src/libdistribution/syncclient.cpp
@@ -269,10 +269,10 @@
   if (this->Hooks.MayApply)
     if (auto Allowed = this->Hooks.MayApply(Cluster, Next); !Allowed)
       return Allowed;
-  if (!this->Hooks.CheckReferences)
+  if (!this->Hooks.CheckChanges)
     return {};
-  return this->Hooks.CheckReferences(
-      this->ReplicatedStaging.preview(this->State.Replicated));
+  return this->Hooks.CheckChanges(
+      this->ReplicatedStaging.changesTo(this->State.Replicated));
 }
 
 bool SyncClient::installMemberChunk(const SyncResponse &Response) {
--- a/src/libdistribution/syncclient.h
+++ b/src/libdistribution/syncclient.h
@@ -60,8 +60,9 @@
   /// onFailure or onRedirect. Other requests may be in flight; the transport
   /// sends each on a connection of its own.
   std::function<void(const Endpoint &To, const SyncRequest &Request)> Send;
-  /// Checks that all references within the staged replicated state resolve.
-  std::function<Result<void>(const ResourceMap &)> CheckReferences;
+  /// Checks that all references resolve in the replicated state after these
+  /// changes.
+  std::function<Result<void>(const std::vector<ResourceUpdate> &)> CheckChanges;
   /// Decides whether a revision may be put in force; when unset, any revision
   /// that is not lower is accepted.
   std::function<Result<void>(const ClusterId &, Revision)> MayApply;
--- a/src/libdistribution/tablestaging.cpp
+++ b/src/libdistribution/tablestaging.cpp
@@ -18,17 +18,23 @@
   return !this->Cursor;
 }
 
-ResourceMap TableStaging::preview(const ResourceTable &Table) const {
-  ResourceMap Result;
-  if (!this->Snapshot)
-    Result = Table.resources();
-  for (const VersionedChange &Change : this->Changes) {
-    if (Change.Value)
-      Result[Change.Key] = *Change.Value;
-    else
-      Result.erase(Change.Key);
+std::vector<ResourceUpdate>
+TableStaging::changesTo(const ResourceTable &Table) const {
+  // A key that changed during the transfer occurs more than once.
+  std::map<std::string_view, const Json *> Newest;
+  for (const VersionedChange &Change : this->Changes)
+    Newest[Change.Key] = Change.Value ? &*Change.Value : nullptr;
+  std::vector<ResourceUpdate> Updates;
+  for (const auto &[Key, Value] : Newest) {
+    const Json *Existing = Table.find(std::string(Key));
+    if (Value ? !Existing || *Existing != *Value : Existing != nullptr)
+      Updates.push_back({Key, Value});
   }
-  return Result;
+  if (this->Snapshot)
+    for (const auto &[Key, Value] : Table.resources())
+      if (!Newest.contains(Key))
+        Updates.push_back({Key, nullptr});
+  return Updates;
 }
 
 Result<void> TableStaging::installInto(ResourceTable &Table) const {
--- a/src/libdistribution/tablestaging.h
+++ b/src/libdistribution/tablestaging.h
@@ -16,8 +16,9 @@
   const std::optional<TableCursor> &cursor() const { return this->Cursor; }
   /// Version of the table after the transfer.
   TableVersion target() const { return this->Target; }
-  /// Returns the resources that \a Table would have after \a installInto.
-  ResourceMap preview(const ResourceTable &Table) const;
+  /// Returns how the resources of \a Table would change by \a installInto. The
+  /// result refers to the table and to this object.
+  std::vector<ResourceUpdate> changesTo(const ResourceTable &Table) const;
   Result<void> installInto(ResourceTable &Table) const;
   void clear();
 
--- a/tests/libconfig/test_routingview.cpp
+++ b/tests/libconfig/test_routingview.cpp
@@ -235,6 +235,97 @@
   CHECK(Refused > 0);
 }
 
+namespace {
+
+std::vector<ResourceUpdate> updatesBetween(const ResourceMap &Before,
+                                           const ResourceMap &After) {
+  std::vector<ResourceUpdate> Updates;
+  for (const auto &[Key, Value] : After) {
+    auto Old = Before.find(Key);
+    if (Old == Before.end() || Old->second != Value)
+      Updates.push_back({Key, &Value});
+  }
+  for (const auto &[Key, Value] : Before)
+    if (!After.contains(Key))
+      Updates.push_back({Key, nullptr});
+  return Updates;
+}
+
+void checkSame(const RoutingView &Left, const RoutingView &Right) {
+  REQUIRE(Left.routes().size() == Right.routes().size());
+  CHECK(Left.services().size() == Right.services().size());
+  CHECK(Left.version() == Right.version());
+  CHECK(Left.zonesOutOfService() == Right.zonesOutOfService());
+  for (const auto &[Name, Service] : Right.services())
+    CHECK(Left.split(Name) == Right.split(Name));
+  for (const auto &[Name, Route] : Right.routes()) {
+    const RouteSpec *Matched = Left.matchRoute("GET", Route.PathPrefix);
+    REQUIRE(Matched != nullptr);
+    CHECK(Matched->Name == Right.matchRoute("GET", Route.PathPrefix)->Name);
+    CHECK(Matched->Service ==
+          Right.matchRoute("GET", Route.PathPrefix)->Service);
+  }
+}
+
+} // namespace
+
+TEST_CASE("a view that follows changes differs from a view built anew") {
+  // Guards against nodes that route differently, depending on their history.
+  int Refused = 0;
+  for (std::uint64_t Seed = 1; Seed <= 300; ++Seed) {
+    CAPTURE(Seed);
+    RandomFunction Random = seededRandom(Seed);
+    ResourceMap Now = settledResources(randomSet(Random));
+    RoutingView View = viewOf(Now);
+    for (int Step = 0; Step < 10; ++Step) {
+      ResourceMap Next = settledResources(randomSet(Random));
+      // Mixtures may be refused; they must then leave the view as it is.
+      if (Random() % 2 == 0)
+        for (const auto &[Key, Value] : Now)
+          if (Random() % 4 != 0)
+            Next[Key] = Value;
+      if (Random() % 4 == 0)
+        Next["zone-out/a"] = true;
+      if (Random() % 4 == 0 && Next.contains("route/r0"))
+        Next["route/r0"]["path_prefix"] = "/p1";
+      auto Fresh = RoutingView::create(Next);
+      auto Prepared = View.prepare(updatesBetween(Now, Next));
+      REQUIRE(Prepared.has_value() == Fresh.has_value());
+      if (!Fresh) {
+        ++Refused;
+        checkSame(View, viewOf(Now));
+        continue;
+      }
+      View.commit(std::move(*Prepared));
+      checkSame(View, *Fresh);
+      Now = std::move(Next);
+    }
+  }
+  CHECK(Refused > 0);
+}
+
+TEST_CASE("a change of one route rebuilds the others") {
+  // Guards against a cost of each change that grows with the whole set.
+  ResourceMap All = settledResources(readValid(ValidSet));
+  RoutingView View = viewOf(All);
+  const RouteSpec *Unchanged = View.route(RouteName("stock"));
+  REQUIRE(Unchanged != nullptr);
+  addRoute(All, "added", "GET", "/added");
+  View.commit(*View.prepare({{"route/added", &All.at("route/added")}}));
+  CHECK(View.route(RouteName("stock")) == Unchanged);
+  CHECK(matched(View, "GET", "/added/1") == "added");
+}
+
+TEST_CASE("a copy of a view follows a change of the original") {
+  // Guards against a holder of an older view that sees half of a change.
+  ResourceMap All = settledResources(readValid(ValidSet));
+  RoutingView View = viewOf(All);
+  const RoutingView Copy = View;
+  View.commit(*View.prepare({{"route/stock", nullptr}}));
+  CHECK(View.route(RouteName("stock")) == nullptr);
+  CHECK(Copy.route(RouteName("stock")) != nullptr);
+}
+
 TEST_CASE("matching agrees with a search through all routes") {
   // Guards against the tree and the rule of the longest prefix drifting apart.
   constexpr std::array<const char *, 4> Segments = {"a", "b", "ab", ""};
--- a/tests/libdistribution/mesh.cpp
+++ b/tests/libdistribution/mesh.cpp
@@ -85,7 +85,7 @@
 void Mesh::makeClient(Process &Owner) {
   SyncClientHooks Hooks;
   Hooks.Random = this->Wire.Random;
-  Hooks.CheckReferences = this->Options.CheckReferences;
+  Hooks.CheckChanges = this->Options.CheckChanges;
   Hooks.Send = [this, &Owner](const Endpoint &To, const SyncRequest &Request) {
     this->request(Owner, To, Request);
   };
--- a/tests/libdistribution/mesh.h
+++ b/tests/libdistribution/mesh.h
@@ -27,7 +27,8 @@
   SyncServerOptions Server = {};
   SyncClientOptions Client = {};
   TableLimits Tables = {};
-  std::function<Result<void>(const ResourceMap &)> CheckReferences = {};
+  std::function<Result<void>(const std::vector<ResourceUpdate> &)>
+      CheckChanges = {};
   std::function<void(Process &)> OnChanged = {};
 };
 
--- a/tests/libdistribution/test_syncclient.cpp
+++ b/tests/libdistribution/test_syncclient.cpp
@@ -20,7 +20,14 @@
       this->Targets.push_back(To);
       this->Requests.push_back(Request);
     };
-    Hooks.CheckReferences = [](const ResourceMap &All) -> Result<void> {
+    Hooks.CheckChanges =
+        [this](const std::vector<ResourceUpdate> &Changes) -> Result<void> {
+      ResourceMap All = this->State.Replicated.resources();
+      for (const ResourceUpdate &Change : Changes)
+        if (Change.Value)
+          All[std::string(Change.Key)] = *Change.Value;
+        else
+          All.erase(std::string(Change.Key));
       if (All.contains("route/r") && !All.contains("service/s"))
         return fail(ErrorCode::InvalidArgument, "route r has no service");
       return {};
