--- a/src/amaranthward/controlprocess.cpp
+++ b/src/amaranthward/controlprocess.cpp
@@ -62,6 +62,7 @@
   }
   Replication.DataFolder = this->Settings.DataFolder;
   Replication.SnapshotAfterBytes = SnapshotAfterBytes;
+  Replication.SnapshotLogRatio = SnapshotLogRatio;
   ControlServiceHooks Hooks;
   Hooks.SendToReplica = [this](const ReplicaName &To, const Json &Message) {
     this->sendToReplica(To, Message);
--- a/src/libconsensus/consensusreplica.h
+++ b/src/libconsensus/consensusreplica.h
@@ -46,6 +46,10 @@
   std::size_t SegmentBytes = 1U << 20;
   /// Log bytes after the last snapshot that cause the next one.
   std::size_t SnapshotAfterBytes = 4U << 20;
+  /// The same as a multiple of the last snapshot's size; the larger one counts.
+  /// It keeps the cost of snapshots in proportion to the log when the state is
+  /// large. 0 for none.
+  std::size_t SnapshotLogRatio = 0;
   /// Limit on the size of all log segments; 0 for none.
   std::uint64_t LogQuotaBytes = 0;
   /// Proposals that may wait for their outcome at one time.
--- a/src/libconsensus/replicacore.cpp
+++ b/src/libconsensus/replicacore.cpp
@@ -268,8 +268,15 @@
   }
 }
 
+std::size_t ReplicaCore::snapshotThreshold() const {
+  auto Newest = this->snapshot();
+  std::size_t Size = Newest ? Newest->State.size() : 0;
+  return std::max(this->Options.SnapshotAfterBytes,
+                  this->Options.SnapshotLogRatio * Size);
+}
+
 void ReplicaCore::takeSnapshotIfDue() {
-  bool Due = this->BytesSinceSnapshot >= this->Options.SnapshotAfterBytes ||
+  bool Due = this->BytesSinceSnapshot >= this->snapshotThreshold() ||
              (this->DiskFull && this->BytesSinceSnapshot > 0);
   if (this->Failed || !Due || this->now() < this->NextSnapshot)
     return;
--- a/src/libconsensus/replicacore.h
+++ b/src/libconsensus/replicacore.h
@@ -104,6 +104,8 @@
   void noteVoterSet(const LogEntry &Entry);
   void dropVoterSetsAfter(LogIndex Index);
   void handleFullDisk(const Error &Cause);
+  /// Log bytes after the last snapshot that cause the next one.
+  std::size_t snapshotThreshold() const;
   const VoterSet &votersAt(LogIndex Index) const;
 
   ReplicaOptions Options;
--- a/tests/libconsensus/test_replication.cpp
+++ b/tests/libconsensus/test_replication.cpp
@@ -157,6 +157,24 @@
   CHECK(Bus.violations().empty());
 }
 
+TEST_CASE("a large state is written again at each record") {
+  // Guards against snapshots of a large state beside nearly every record.
+  TestCluster Bus(21);
+  Bus.Options.SnapshotAfterBytes = 1000;
+  Bus.Options.SnapshotLogRatio = 4;
+  Bus.startAll();
+  REQUIRE(Bus.commit(std::string(50000, 'x')));
+  Bus.run(1s);
+  const std::uint64_t First = snapshotOf(Bus, Bus.leaderName());
+  REQUIRE(First > 0);
+  for (int Number = 0; Number < 50; ++Number)
+    REQUIRE(Bus.commit(std::string(2000, 'y') + std::to_string(Number)));
+  CHECK(snapshotOf(Bus, Bus.leaderName()) == First);
+  for (int Number = 0; Number < 60; ++Number)
+    REQUIRE(Bus.commit(std::string(2000, 'z') + std::to_string(Number)));
+  CHECK(snapshotOf(Bus, Bus.leaderName()) > First);
+}
+
 TEST_CASE("Replicas restart from snapshot plus log") {
   // Guards against state that is lost or applied twice on restart.
   TestCluster Bus(15);
