Gate: end a response that never begins

An upstream in trouble may send bytes that are no answer, without end, in a head or a body. A gate read interim responses without end, and waited for the deadline of the call when what arrived slowly could not become a status line; the call held a slot until then and the caller got 504.

Now a response fails as soon as its first bytes are not those of a status line, and after 256 KiB of interim responses. Bound already, and covered by cases now: heads (16 KiB), size lines and trailers of chunks; a valid body without end ends with the call's deadline, and what is kept of it stays within 256 KiB.

Evidence: of test_endlessbytes.cpp, the cases "interim responses" (504 after 5 s, 12.5 MB read) and "slow bytes" (504 after 5 s) fail on the code before.

--- a/src/libnet/clientconnection.cpp
+++ b/src/libnet/clientconnection.cpp
@@ -7,6 +7,14 @@
 /// Unread response bytes beyond this stop reading while nobody takes them.
 constexpr std::size_t MaxUnread = 16UL * 1024;
 constexpr std::size_t KeptCapacity = 32UL * 1024;
+/// Bound on the interim responses to one request. A gate sends about 25 bytes
+/// every 200 ms while a request waits.
+constexpr std::size_t MaxInterimBytes = 256UL * 1024;
+constexpr std::string_view StatusLineStart = "HTTP/1.1 ";
+
+bool mayBeginResponse(std::string_view Received) {
+  return Received.starts_with(StatusLineStart.substr(0, Received.size()));
+}
 
 class Exchange final : public ClientExchange {
 public:
@@ -108,6 +116,7 @@
   this->Phase = State::Head;
   this->BytesOutAtStart = this->Stream->bytesOut();
   this->BodyPaused = false;
+  this->InterimBytes = 0;
   this->HeadRequest = Head.Method == "HEAD";
   this->CloseAfter = connectionHas(Head.Headers, "close");
   this->ChunkedRequest = !Head.BodyLength;
@@ -236,6 +245,10 @@
   std::string_view Input = std::string_view(this->In).substr(this->Used);
   if (Input.empty())
     return false;
+  if (!mayBeginResponse(Input)) {
+    this->failWith(ErrorCode::Corrupt, "received bytes that are no response");
+    return false;
+  }
   HeadScanner::State Found = this->Scanner.scan(Input);
   std::size_t Length = this->Scanner.length();
   if (Found == HeadScanner::State::BareLineFeed ||
@@ -255,6 +268,11 @@
   }
   auto Kept = this->Callbacks;
   if (Head->Status < 200) {
+    this->InterimBytes += Length;
+    if (this->InterimBytes > MaxInterimBytes) {
+      this->failWith(ErrorCode::Corrupt, "too many interim responses");
+      return false;
+    }
     if (Kept->OnInterim)
       Kept->OnInterim(Head->Status);
     return true;
--- a/src/libnet/clientconnection.h
+++ b/src/libnet/clientconnection.h
@@ -84,6 +84,8 @@
   bool RequestDone = false;
   bool ChunkedRequest = false;
   std::uint64_t LeftToSend = 0;
+  /// Bytes of interim responses to the current request.
+  std::size_t InterimBytes = 0;
 };
 
 } // namespace amaranthward
