--- a/tests/libconsensus/test_openmembership.cpp
+++ b/tests/libconsensus/test_openmembership.cpp
@@ -67,6 +67,42 @@
   CHECK(Bus.violations() == "");
 }
 
+TEST_CASE("two disks are lost while every other machine loses power") {
+  // Guards against a record that was acknowledged and is gone afterwards.
+  const std::vector<std::string> Five = {"a", "b", "c", "d", "e"};
+  for (std::uint64_t Seed = 1; Seed <= 100; ++Seed) {
+    CAPTURE(Seed);
+    TestCluster Bus = openCluster(Seed);
+    Bus.Options.SnapshotAfterBytes = 400;
+    Bus.MaxDelayMs = 20;
+    startFive(Bus);
+    REQUIRE(Bus.runUntil([&] { return votersOf(Bus) == 5; }));
+    for (std::uint64_t Count = Bus.Random() % 12; Count > 0; --Count)
+      REQUIRE(Bus.commit(std::string(50, 'x') + std::to_string(Count)));
+    REQUIRE(Bus.commit("acknowledged"));
+    const std::size_t First = Bus.Random() % Five.size();
+    const std::size_t Second = (First + 1 + Bus.Random() % 4) % Five.size();
+    for (std::size_t Index = 0; Index < Five.size(); ++Index)
+      if (Index == First || Index == Second)
+        Bus.loseDisk(Five[Index]);
+      else
+        Bus.crash(Five[Index]);
+    Bus.run(500ms);
+    for (const std::string &Name : Five) {
+      CHECK(Bus.start(Name).empty());
+      Bus.run(std::chrono::milliseconds(Bus.Random() % 300));
+    }
+    CHECK(Bus.commit("after"));
+    CHECK(Bus.runUntil([&] {
+      return std::all_of(
+          Five.begin(), Five.end(),
+          [&Bus](const std::string &Name) { return Bus.isVoter(Name); });
+    }));
+    Bus.checkAcknowledged();
+    CHECK(Bus.violations() == "");
+  }
+}
+
 TEST_CASE("A successor under another name replaces a dead voter") {
   // Guards against a cluster that keeps counting a replica that never returns.
   TestCluster Bus = openCluster(44);
