Entry: read sockets once more before a call is given up at its deadline

Cause: the gate refuses a waiting call 1.6 ms before the deadline of the entry. When the process gets no processor for that long, both timers are due in one turn of the loop, and the deadline is acted on although the refusal has arrived.

At its deadline a call now waits for one more turn, in which sockets come before timers. A case that makes the loop late on purpose fails without the change (504 unknown).

--- a/src/libproxy/entrycall.cpp
+++ b/src/libproxy/entrycall.cpp
@@ -36,7 +36,7 @@
   this->DeadlineTimer = this->Shared.Loop.after(
       this->Until.left(this->Shared.Loop.now()), [Self] {
         if (auto Call = Self.lock())
-          Call->giveUp(Outcome::NotRun, GatewayTimeout, "deadline");
+          Call->onDeadline();
       });
   const auto &Length = this->Exchange->request().BodyLength;
   this->BodyComplete = Length == std::uint64_t(0);
@@ -47,6 +47,16 @@
     this->firstAttempt();
 }
 
+// A loop that is late may find the deadline and the response of the gate at the
+// same time, so sockets are read once more before the call is given up.
+void EntryCall::onDeadline() {
+  std::weak_ptr<EntryCall> Self = this->weak_from_this();
+  this->DeadlineTimer = this->Shared.Loop.after(Duration(0), [Self] {
+    if (auto Call = Self.lock())
+      Call->giveUp(Outcome::NotRun, GatewayTimeout, "deadline");
+  });
+}
+
 void EntryCall::setExchangeHooks() {
   std::weak_ptr<EntryCall> Self = this->weak_from_this();
   ServerExchange::Hooks Hooks;
--- a/src/libproxy/entrycall.h
+++ b/src/libproxy/entrycall.h
@@ -37,6 +37,7 @@
   EntryCall(EntryContext &Shared, std::shared_ptr<ServerExchange> Exchange,
             const RouteSpec &Route, CallClass Class, Deadline Until,
             std::function<void(EntryCall *)> OnCallFinished);
+  void onDeadline();
   void setExchangeHooks();
   void onRequestBody(std::string_view Data);
   void onRequestEnd();
--- a/tests/libproxy/test_outcomes.cpp
+++ b/tests/libproxy/test_outcomes.cpp
@@ -1,6 +1,8 @@
 #include "libproxy/meshfixture.h"
 #include "libproxy/stallingrelay.h"
 
+#include <thread>
+
 using namespace amaranthward;
 
 namespace {
@@ -160,6 +162,27 @@
   CHECK(Held.size() == 1);
 }
 
+TEST_CASE("a refusal that arrives while the loop is late for the deadline is "
+          "lost") {
+  MeshFixture Mesh;
+  std::vector<std::shared_ptr<ServerExchange>> Held;
+  Mesh.addGate(
+      "v1", [&](auto Exchange) { Held.push_back(Exchange); }, "a", 1);
+  Mesh.start();
+  auto First = Mesh.call("POST", "/order", "one");
+  REQUIRE(Mesh.runUntil([&] { return Held.size() == 1; }));
+  HttpHeaders Headers;
+  Headers.add(header::DeadlineMs, "200");
+  // The gate refuses the call and the entry gives it up in one turn.
+  Mesh.Loop->after(std::chrono::milliseconds(150), [] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  });
+  auto Second = Mesh.callAndWait("POST", "/order", "two", Headers);
+  CHECK(Second->Status == 503);
+  CHECK(Second->Outcome == "not-run");
+  CHECK(Held.size() == 1);
+}
+
 TEST_CASE("a caller that disconnects cancels the call at gate and upstream") {
   MeshFixture Mesh;
   int Aborts = 0;
