--- a/src/amaranthward/controlprocess.h
+++ b/src/amaranthward/controlprocess.h
@@ -31,8 +31,8 @@
   /// replica applies the log after the snapshot before it can lead, which takes
   /// 10 ms per set on a third of a core.
   static constexpr std::size_t SnapshotAfterBytes = std::size_t{64} * 1024;
-  /// The same for a large set, in sets: each record of the log has one, and so
-  /// has the snapshot.
+  /// See ReplicaOptions::SnapshotLogRatio. A record of the log has a whole set,
+  /// and so has the snapshot, so a large set is written once in four records.
   static constexpr std::size_t SnapshotLogRatio = 4;
   /// Timeout of a consensus message.
   static constexpr Duration MessageTimeout = std::chrono::seconds(1);
--- a/src/amaranthward/nodedistribution.h
+++ b/src/amaranthward/nodedistribution.h
@@ -90,7 +90,7 @@
   Result<void> prepare(const std::vector<ResourceUpdate> &Changes);
   /// The flags tell which table changed.
   void onChanged(bool Replicated, bool Members);
-  /// \param ViewTook time to build the routing view.
+  /// \param ViewTook time to change the routing view.
   void logTransfer(Duration ViewTook);
   void serveRevision(ServerExchange &Exchange) const;
   void queryWitnesses();
