--- a/tests/libdistribution/test_syncclient.cpp
+++ b/tests/libdistribution/test_syncclient.cpp
@@ -221,8 +221,7 @@
 }
 
 TEST_CASE("Reports do not replace the request whose chunks are on their way") {
-  // Guards against chunks that are dropped and sent again for as long as the
-  // transfer takes longer than the gap between two reports.
+  // Guards against chunks that are dropped and sent again while nodes report.
   Fixture F;
   F.change({{"a", 1U}}, 1);
   const SyncResponse Slow = F.answer();
@@ -238,8 +237,7 @@
 }
 
 TEST_CASE("A response that still arrives is not taken for silence") {
-  // Guards against a transfer over a narrow link that begins again at another
-  // parent each time.
+  // Guards against a slow transfer that begins again at another parent.
   Fixture F;
   F.change({{"a", 1U}}, 1);
   const SyncResponse Slow = F.answer();
@@ -254,8 +252,7 @@
 }
 
 TEST_CASE("A parent that answers only reports is left") {
-  // Guards against waiting forever on a silent connection to a parent that
-  // answers on other connections.
+  // Guards against a silent connection to a parent that answers on others.
   Fixture F;
   F.Client->onResponse(F.answer(), F.Now);
   const Endpoint Parent = F.Targets.back();
