Review: case 4, a backend that has left is used again after its node restarted

Cause: a restarted gate acknowledges the deregistration of a backend that it has not heard of yet, and forgets it. Case: node killed, deregistration acknowledged, heartbeat of before arrives late.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && exec python3 case.py
