Review: case 5, requests behind a long answer that breaks off get none

Cause: a node passes pipelined requests on at once and sends answers over 64 KiB before they are whole, so that it has to close the connection. Case: one of two backends breaks off every fiftieth long answer; three short requests of another service stand behind each.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -302,6 +302,10 @@
         "baseVersion": base}, separators=(",", ":"))
 
 
+class BrokenOff(bytes):
+    """The beginning of an answer, after which the backend closes."""
+
+
 class Backend:
     """An application backend: serves on its address and sends heartbeats."""
 
@@ -393,7 +397,10 @@
                         stream.readline()
                         if size == 0:
                             break
-                connection.sendall(self.respond(line[0], line[1], headers, body))
+                answer = self.respond(line[0], line[1], headers, body)
+                connection.sendall(answer)
+                if isinstance(answer, BrokenOff):
+                    return
         except (OSError, ValueError):
             pass
         finally:
