Moves: a share rises and a move ends only with evidence on each route

Cause: a route gave no verdict before the old version had 200 calls there, which a route with 23 calls a second never reaches in a rollout of 14 s, and no verdict counted as good: the share followed the sum of all routes.

- A baseline of 20 calls is enough, with a wider estimate of its rate.
- Each route needs evidence that the candidate is good there; the share grows with it, and the move is not done without it.
Routes with fewer than 50 calls in the move are left out, as they would take back good versions.
- The sum of all routes is judged as well; a route without a baseline halves the share; a new leader waits for the counters of the nodes.
- Each step is logged with its verdict and the routes that are not judged.

Why it works: the calls that a bad route gets before the verdict no longer depend on the calls of other routes.

"Little traffic gives no verdict" expected none from 49 failures of 49 calls beside 49 good ones; such a verdict is now due. The case keeps the check below the smallest baseline, adds 200 seeds of shared fault rates, and a new case demands the verdict.

--- a/bench/policy/movesession.cpp
+++ b/bench/policy/movesession.cpp
@@ -125,20 +125,34 @@
     Failures = std::max(Failures, Both->FailureRate);
     Slowing = Both->SlowFactor;
   }
-  if (IsCandidate && this->isFaulty(Route)) {
+  bool IsFaulty = IsCandidate && this->isFaulty(Route);
+  if (IsFaulty) {
     Failures += (1 - Failures) * this->Of.Bad->FailureRate;
     Slowing *= this->Of.Bad->SlowFactor;
   }
   Duration Latency = this->Latencies.draw(this->Numbers);
   Latency = Duration(static_cast<Duration::rep>(Latency.count() * Slowing));
-  At.count(Route, IsCandidate, this->Numbers.chance(Failures), Latency);
-  if (IsCandidate && this->isFaulty(Route)) {
+  bool Failed = this->Numbers.chance(Failures);
+  At.count(Route, IsCandidate, Failed, Latency);
+  if (IsFaulty) {
     this->countFault(Node, Route);
     this->shadow();
   }
   ++this->Result.AllCalls;
-  this->Result.CandidateCalls += IsCandidate ? 1 : 0;
-  this->CandidateCallsInSecond += IsCandidate ? 1 : 0;
+  if (IsCandidate)
+    this->countCandidate(IsFaulty && (Failed || this->Of.Bad->SlowFactor > 1));
+}
+
+void MoveSession::countCandidate(bool BadAnswer) {
+  ++this->Result.CandidateCalls;
+  ++this->CandidateCallsInSecond;
+  if (this->Now <= this->Of.Deadline)
+    ++this->Result.CandidateCallsByDeadline;
+  if (BadAnswer && ++this->BadAnswers == SessionResult::BadAnswersToRollback)
+    this->RollbackDueFrom = this->Now;
+  if (this->RollbackDueFrom &&
+      this->Now > *this->RollbackDueFrom + SessionResult::RollbackTime)
+    ++this->Result.CandidateCallsTooLate;
 }
 
 bool MoveSession::isFaulty(std::size_t Route) const {
--- a/bench/policy/movesession.h
+++ b/bench/policy/movesession.h
@@ -42,6 +42,9 @@
   void serveCall(std::size_t Node);
   bool isFaulty(std::size_t Route) const;
   void countFault(std::size_t Node, std::size_t Route);
+  /// Counts a call of the candidate; \a BadAnswer: the fault changed its
+  /// answer.
+  void countCandidate(bool BadAnswer);
   void sendReports();
   void deliver();
   void decide();
@@ -87,6 +90,9 @@
   std::vector<std::uint64_t> BadAtDecision;
   double CandidateRate = 0;
   std::uint64_t CandidateCallsInSecond = 0;
+  std::uint64_t BadAnswers = 0;
+  /// When the last of BadAnswersToRollback was given.
+  std::optional<Duration> RollbackDueFrom;
   std::optional<VersionAnalysis> Shadow;
   std::optional<Duration> EvidenceAt;
   std::optional<Duration> CutEvidenceAt;
--- a/bench/policy/scenario.h
+++ b/bench/policy/scenario.h
@@ -90,6 +90,13 @@
 
   std::uint64_t AllCalls = 0;
   std::uint64_t CandidateCalls = 0;
+  /// Candidate calls up to the deadline of the first move.
+  std::uint64_t CandidateCallsByDeadline = 0;
+  /// Candidate calls later than RollbackTime after the answer that was the
+  /// BadAnswersToRollback-th failure of the fault, or slowed down by it.
+  std::uint64_t CandidateCallsTooLate = 0;
+  static constexpr std::uint64_t BadAnswersToRollback = 50;
+  static constexpr Duration RollbackTime = std::chrono::seconds(5);
   /// Calls that met the fault on the route where most did, up to the decision
   /// and after it.
   std::uint64_t BadBefore = 0;
--- a/src/libcontrol/movedriver.cpp
+++ b/src/libcontrol/movedriver.cpp
@@ -135,10 +135,10 @@
         continue;
       Payload = Record->toJson();
       logFor("moves")->info(
-          "Move {}: proposing phase {} with {:.2f}% of calls on {}.", Move.Id,
-          toString(Decision.Next.Phase),
+          "Move {}: proposing phase {} with {:.2f}% of calls on {}; {}.",
+          Move.Id, toString(Decision.Next.Phase),
           100 * Decision.Next.shareOf(Move.Driver).fraction(),
-          Move.Driver.str());
+          Move.Driver.str(), describe(Inputs.Verdict));
     }
     Tracked->ProposedAt = Now;
     Tracked->ProposedChangeCount = State.Move->ChangeCount;
@@ -161,6 +161,7 @@
     Out[Service.str()] = {{"move", Tracked.MoveId},
                           {"verdict", toString(Verdict.Kind)},
                           {"candidate_calls", Verdict.CandidateCalls},
+                          {"evidence", describe(Verdict)},
                           {"calls_per_second", Tracked.CallsPerSecond},
                           {"mean_latency_s", Tracked.MeanLatencySeconds}};
   }
--- a/src/libpolicy/movepacer.cpp
+++ b/src/libpolicy/movepacer.cpp
@@ -26,6 +26,8 @@
 /// A step must keep within the limit for this many seconds of calls, because a
 /// verdict takes time to reach every node.
 constexpr double EarlyHorizonSeconds = 1.5;
+/// Shortest time over which the call rate of a route is computed.
+constexpr double MinRateSeconds = 0.5;
 /// Smaller relative growth of the gain is not worth a record in the replicated
 /// log.
 constexpr double MinStepGrowth = 1.25;
@@ -37,6 +39,18 @@
          static_cast<double>(shareIn(State.Fallback, State.Driver).parts());
 }
 
+double secondsBetween(WallTime From, WallTime Until) {
+  return std::chrono::duration<double>(Until - From).count();
+}
+
+/// Calls of both versions per second since the start of the move.
+double callRate(const UnjudgedRoute &Route, const MoveState &State,
+                WallTime Now) {
+  double Seconds =
+      std::max(secondsBetween(State.StartedAt, Now), MinRateSeconds);
+  return static_cast<double>(Route.AllCalls) / Seconds;
+}
+
 MoveDecision keep(const MoveState &State) {
   return {MoveAction::Keep, State, false};
 }
@@ -46,17 +60,6 @@
   return {MoveAction::End, State.endedAs(Phase, Reason, Now), false};
 }
 
-void recordEvidence(MoveState &State, const AnalysisVerdict &Verdict) {
-  State.Evidence.Calls = std::max(State.Evidence.Calls, Verdict.CandidateCalls);
-  State.Evidence.Good =
-      State.Evidence.Good || Verdict.Kind == VerdictKind::GoodSoFar;
-  if (!Verdict.Bad)
-    return;
-  State.Evidence.Good = false;
-  State.Evidence.BadRoute = Verdict.Bad->Route;
-  State.Evidence.BadFault = Verdict.Bad->Fault;
-}
-
 /// Whether the target gives the candidate no more than the fallback does. Such
 /// a move may end at its target although the candidate is bad.
 bool addsNoCandidateShare(const MoveState &State) {
@@ -64,18 +67,6 @@
                                      shareIn(State.Fallback, State.Candidate);
 }
 
-MoveDecision decideBad(const MoveState &State, const MoveInputs &In) {
-  MoveReason Reason =
-      In.CandidateMarkedBad ? MoveReason::MarkedBad : MoveReason::BadVersion;
-  MoveDecision Decision =
-      addsNoCandidateShare(State)
-          ? endAs(State, MovePhase::Done, MoveReason::TargetHeld, In.Now)
-          : endAs(State, MovePhase::TakenBack, Reason, In.Now);
-  recordEvidence(Decision.Next, In.Verdict);
-  Decision.MarkBad = !In.CandidateMarkedBad;
-  return Decision;
-}
-
 /// Whether every version with a share in \a Shares has upstreams.
 bool hasCapacity(const Split &Shares, const MoveInputs &In) {
   return std::all_of(Shares.begin(), Shares.end(), [&In](const auto &Entry) {
@@ -89,10 +80,11 @@
   return std::max(MaxSuspectShare, shareIn(State.Fallback, State.Candidate));
 }
 
-MoveDecision lowerSuspectShare(const MoveState &State, const MoveInputs &In) {
+MoveDecision lowerShare(const MoveState &State, const MoveInputs &In) {
   MoveDecision Decision = {MoveAction::SetShare, State, false};
   Split &Shares = Decision.Next.InForce;
-  Share Remaining = suspectShare(State);
+  Share Remaining = std::max(Share(Shares[State.Candidate].parts() / 2),
+                             shareIn(State.Fallback, State.Candidate));
   std::uint32_t Removed = Shares[State.Candidate].parts() - Remaining.parts();
   Shares[State.Candidate] = Remaining;
   Shares[State.Baseline] = Share(Shares[State.Baseline].parts() + Removed);
@@ -100,12 +92,6 @@
   return Decision;
 }
 
-bool mustLowerSuspectShare(const MoveState &State, const MoveInputs &In) {
-  return In.Verdict.Kind == VerdictKind::Suspect && State.NeedsEvidence &&
-         State.shareOf(State.Candidate) > suspectShare(State) &&
-         hasCapacity(State.Fallback, In);
-}
-
 MoveDecision restoreTarget(const MoveState &State, const MoveInputs &In) {
   MoveDecision Decision = {MoveAction::SetShare, State, false};
   Decision.Next.InForce = State.To;
@@ -147,13 +133,75 @@
          (Now <= State.EndedAt + State.Probation || State.InForce != State.To);
 }
 
+void MovePacer::recordEvidence(MoveState &State, const MoveInputs &In) const {
+  const AnalysisVerdict &Verdict = In.Verdict;
+  State.Evidence.Calls = std::max(State.Evidence.Calls, Verdict.CandidateCalls);
+  State.Evidence.Good = State.Evidence.Good || this->isGood(State, In);
+  if (!Verdict.Bad)
+    return;
+  State.Evidence.Good = false;
+  State.Evidence.BadRoute = Verdict.Bad->Route;
+  State.Evidence.BadFault = Verdict.Bad->Fault;
+}
+
+bool MovePacer::needsEvidence(const UnjudgedRoute &Route,
+                              const MoveState &State,
+                              const MoveInputs &In) const {
+  double Rate = callRate(Route, State, In.Now);
+  return Rate * secondsBetween(State.StartedAt, State.Deadline) >
+         this->Options.MaxUnjudgedCalls;
+}
+
+bool MovePacer::lacksEvidence(const MoveState &State,
+                              const MoveInputs &In) const {
+  const auto &Routes = In.Verdict.Unjudged;
+  return std::any_of(Routes.begin(), Routes.end(), [&](const auto &Each) {
+    return this->needsEvidence(Each, State, In);
+  });
+}
+
+bool MovePacer::lacksBaseline(const MoveState &State,
+                              const MoveInputs &In) const {
+  const auto &Routes = In.Verdict.Unjudged;
+  return std::any_of(Routes.begin(), Routes.end(), [&](const auto &Each) {
+    return !Each.HasBaseline && this->needsEvidence(Each, State, In);
+  });
+}
+
+bool MovePacer::isGood(const MoveState &State, const MoveInputs &In) const {
+  return In.Verdict.Kind == VerdictKind::GoodSoFar &&
+         !this->lacksEvidence(State, In);
+}
+
+bool MovePacer::mustLowerShare(const MoveState &State,
+                               const MoveInputs &In) const {
+  bool NeedsBaseline = In.Verdict.Kind == VerdictKind::Suspect ||
+                       (!State.ended() && this->lacksBaseline(State, In));
+  return NeedsBaseline && State.NeedsEvidence &&
+         State.shareOf(State.Candidate) > suspectShare(State) &&
+         hasCapacity(State.Fallback, In);
+}
+
+MoveDecision MovePacer::decideBad(const MoveState &State,
+                                  const MoveInputs &In) const {
+  MoveReason Reason =
+      In.CandidateMarkedBad ? MoveReason::MarkedBad : MoveReason::BadVersion;
+  MoveDecision Decision =
+      addsNoCandidateShare(State)
+          ? endAs(State, MovePhase::Done, MoveReason::TargetHeld, In.Now)
+          : endAs(State, MovePhase::TakenBack, Reason, In.Now);
+  this->recordEvidence(Decision.Next, In);
+  Decision.MarkBad = !In.CandidateMarkedBad;
+  return Decision;
+}
+
 MoveDecision MovePacer::decide(const MoveState &State,
                                const MoveInputs &In) const {
   if (State.ended())
     return this->decideDone(State, In);
   bool IsBad = In.CandidateMarkedBad || In.Verdict.Kind == VerdictKind::Bad;
   if (IsBad && !State.Candidate.empty())
-    return decideBad(State, In);
+    return this->decideBad(State, In);
   if (In.Now >= State.Deadline)
     return this->decideAtDeadline(State, In);
   if (State.Phase == MovePhase::Holding)
@@ -163,25 +211,29 @@
 
 MoveDecision MovePacer::decideHolding(const MoveState &State,
                                       const MoveInputs &In) const {
-  bool IsGood = In.Verdict.Kind == VerdictKind::GoodSoFar;
+  // A new leader has the counters of some nodes only.
+  if (In.Leading < this->Options.ReportResendTime)
+    return keep(State);
+  bool IsGood = this->isGood(State, In);
   if (In.Now - State.LastStepAt >= this->Options.StepInterval) {
-    if (mustLowerSuspectShare(State, In))
-      return lowerSuspectShare(State, In);
-    if (State.InForce != State.To && In.Verdict.Kind != VerdictKind::Suspect)
+    if (this->mustLowerShare(State, In))
+      return lowerShare(State, In);
+    if (State.InForce != State.To && In.Verdict.Kind != VerdictKind::Suspect &&
+        !this->lacksEvidence(State, In))
       return restoreTarget(State, In);
   }
   if (IsGood && State.InForce == State.To &&
       In.Now - State.HeldSince >= State.holdTime()) {
     MoveDecision Decision =
         endAs(State, MovePhase::Done, MoveReason::TargetHeld, In.Now);
-    recordEvidence(Decision.Next, In.Verdict);
+    this->recordEvidence(Decision.Next, In);
     return Decision;
   }
   if (!IsGood || State.Evidence.Good)
     return keep(State);
   // A later leader may have to end the move based on this record alone.
   MoveDecision Decision = {MoveAction::SetShare, State, false};
-  recordEvidence(Decision.Next, In.Verdict);
+  this->recordEvidence(Decision.Next, In);
   return Decision;
 }
 
@@ -198,13 +250,13 @@
     MoveDecision Decision = {MoveAction::Revert, State, true};
     Decision.Next.InForce = State.Fallback;
     Decision.Next.Reverted = true;
-    recordEvidence(Decision.Next, In.Verdict);
+    this->recordEvidence(Decision.Next, In);
     return Decision;
   }
   if (In.Now - State.LastStepAt < this->Options.StepInterval)
     return keep(State);
-  if (mustLowerSuspectShare(State, In))
-    return lowerSuspectShare(State, In);
+  if (this->mustLowerShare(State, In))
+    return lowerShare(State, In);
   return State.InForce != State.To && !IsSuspect ? restoreTarget(State, In)
                                                  : keep(State);
 }
@@ -212,12 +264,13 @@
 MoveDecision MovePacer::decideAtDeadline(const MoveState &State,
                                          const MoveInputs &In) const {
   if (State.NeedsEvidence && In.RejectingFraction > 0.5)
-    return decideBad(State, In);
+    return this->decideBad(State, In);
   if (In.Leading < this->Options.ReportResendTime)
     return keep(State);
   bool IsSuspect = In.Verdict.Kind == VerdictKind::Suspect;
-  bool IsGood = !IsSuspect && (In.Verdict.Kind == VerdictKind::GoodSoFar ||
-                               State.Evidence.Good);
+  bool IsGood =
+      !IsSuspect && !this->lacksEvidence(State, In) &&
+      (In.Verdict.Kind == VerdictKind::GoodSoFar || State.Evidence.Good);
   bool IsHeld = State.InForce == State.To || State.Phase == MovePhase::Holding;
   bool HasCapacity =
       this->gainWithinCapacity(State, In) >= gainOf(State, State.To);
@@ -234,7 +287,7 @@
     Decision.Next.Reason = MoveReason::NoCapacity;
   else if (!IsGood)
     Decision.Next.Reason = MoveReason::NoEvidence;
-  recordEvidence(Decision.Next, In.Verdict);
+  this->recordEvidence(Decision.Next, In);
   return Decision;
 }
 
@@ -243,12 +296,15 @@
   double Target = gainOf(State, State.To);
   double Current = gainOf(State, State.InForce);
   double Next = Current;
+  // A new leader has the counters of some nodes only.
+  if (State.NeedsEvidence && In.Leading < this->Options.ReportResendTime)
+    return keep(State);
   if (State.InForce != State.To) {
     if (State.Phase != MovePhase::Pending &&
         In.Now - State.LastStepAt < this->Options.StepInterval)
       return keep(State);
-    if (mustLowerSuspectShare(State, In))
-      return lowerSuspectShare(State, In);
+    if (this->mustLowerShare(State, In))
+      return lowerShare(State, In);
     if (In.Verdict.Kind == VerdictKind::Suspect && Current > 0)
       return keep(State);
     Next = this->nextGain(State, In);
@@ -266,7 +322,7 @@
           : State.splitAt(Share(static_cast<std::uint32_t>(Settled + Next)));
   Decision.Next.Phase = MovePhase::Shifting;
   Decision.Next.LastStepAt = In.Now;
-  recordEvidence(Decision.Next, In.Verdict);
+  this->recordEvidence(Decision.Next, In);
   if (Next < Target)
     return Decision;
   if (!State.NeedsEvidence)
@@ -289,7 +345,8 @@
   if (State.Phase == MovePhase::Pending && In.Now - State.StartedAt < Wait)
     return Current;
   double Planned = this->gainByPlan(State, In);
-  double Wanted = std::max(Planned, this->gainByEvidence(State, In));
+  double Wanted = std::min(std::max(Planned, this->gainByEvidence(State, In)),
+                           this->gainByRoutes(State, In));
   double First = static_cast<double>(this->Options.EarlyShareLimit.parts());
   double Bound = First;
   if (Current > 0)
@@ -315,6 +372,34 @@
   return std::min(Gain, gainOf(State, State.To));
 }
 
+double MovePacer::gainByRoutes(const MoveState &State,
+                               const MoveInputs &In) const {
+  double Gain = Share::Whole;
+  double Allowed = this->gainWithinUnjudgedLimit(State, In);
+  for (const UnjudgedRoute &Each : In.Verdict.Unjudged) {
+    if (!this->needsEvidence(Each, State, In))
+      continue;
+    double Rate = this->Options.InitialCallRate +
+                  this->Options.CallRateGrowth * Each.GoodCalls;
+    double Justified = Rate / callRate(Each, State, In.Now) * Share::Whole;
+    Gain = std::min(Gain, std::max(Justified, Allowed));
+    if (!Each.HasBaseline)
+      Gain = std::min(Gain, static_cast<double>(MaxSuspectShare.parts()));
+  }
+  return std::max(1.0, std::floor(Gain));
+}
+
+double MovePacer::gainWithinUnjudgedLimit(const MoveState &State,
+                                          const MoveInputs &In) const {
+  if (In.CallsPerSecond <= 0)
+    return 0;
+  double AllCalls =
+      In.CallsPerSecond * secondsBetween(State.StartedAt, State.Deadline);
+  double CallsLeft = this->Options.UnjudgedShareLimit.fraction() * AllCalls -
+                     static_cast<double>(In.Verdict.CandidateCalls);
+  return CallsLeft / (In.CallsPerSecond * EarlyHorizonSeconds) * Share::Whole;
+}
+
 double MovePacer::gainWithinEarlyLimit(const MoveInputs &In) const {
   double Fraction = this->Options.EarlyShareLimit.fraction() * EarlyShareUsed;
   double ExpectedCalls = In.CallsPerSecond * EarlyHorizonSeconds;
--- a/src/libpolicy/movepacer.h
+++ b/src/libpolicy/movepacer.h
@@ -29,7 +29,7 @@
   double RejectingFraction = 0;
   /// Time since this replica became leader.
   Duration Leading = Duration::max();
-  /// Number of routes of the service that carry traffic; scales the call rate
+  /// Number of routes of the service; scales the call rate
   /// and the number of calls needed at the start of a move.
   std::uint32_t Routes = 1;
   /// The candidate has been marked bad, in this move or an earlier one.
@@ -78,13 +78,23 @@
   Duration ReportResendTime = std::chrono::seconds(1);
   /// Fraction of a version's capacity that a step may use.
   double CapacityFraction = 0.8;
+  /// A route that gets fewer calls than this from the start of the move to its
+  /// deadline needs no evidence of its own: a move would otherwise wait for
+  /// calls that do not come. A version that is bad there only fails fewer calls
+  /// than that before the deadline.
+  double MaxUnjudgedCalls = 50;
+  /// Part of all calls from the start of the move to its deadline that the
+  /// candidate may get while a route lacks evidence, if the plan demands it.
+  Share UnjudgedShareLimit = Share(400);
 };
 
 /// Decides the steps of a move, which shifts the traffic of a service from one
 /// split between versions to another. The share grows as fast as the evidence
-/// on the candidate and the deadline demand. A suspect candidate is limited to
-/// half of all calls, so that there is a concurrent baseline to compare it
-/// with. Stateless: the replicated log stores the MoveState, so that a new
+/// on the candidate and the deadline demand, but no faster than the evidence on
+/// each single route allows, because a version may be bad on one route only. A
+/// suspect candidate, or one without a baseline on a route, is limited to half
+/// of all calls, so that there is a concurrent baseline to compare it with.
+/// Stateless: the replicated log stores the MoveState, so that a new
 /// leader can continue a move.
 class MovePacer {
 public:
@@ -104,6 +114,7 @@
 private:
   explicit MovePacer(PacerOptions Options) : Options(Options) {}
 
+  MoveDecision decideBad(const MoveState &State, const MoveInputs &In) const;
   MoveDecision decideShare(const MoveState &State, const MoveInputs &In) const;
   MoveDecision decideHolding(const MoveState &State,
                              const MoveInputs &In) const;
@@ -114,6 +125,26 @@
   // split, in parts per 10,000.
   /// Gain that the candidate's observed calls justify.
   double gainByEvidence(const MoveState &State, const MoveInputs &In) const;
+  /// Largest gain that the evidence on each route with calls justifies, or that
+  /// keeps the candidate within UnjudgedShareLimit; the whole share when all
+  /// routes are judged.
+  double gainByRoutes(const MoveState &State, const MoveInputs &In) const;
+  /// Whether the route gets enough calls that it needs evidence of its own.
+  bool needsEvidence(const UnjudgedRoute &Route, const MoveState &State,
+                     const MoveInputs &In) const;
+  /// Whether a route that needs evidence of its own has too little.
+  bool lacksEvidence(const MoveState &State, const MoveInputs &In) const;
+  /// Whether such a route has no baseline to compare the candidate with.
+  bool lacksBaseline(const MoveState &State, const MoveInputs &In) const;
+  /// Whether the candidate shows no fault and no route lacks evidence.
+  bool isGood(const MoveState &State, const MoveInputs &In) const;
+  /// Stores the evidence of \a In in \a State, for later leaders.
+  void recordEvidence(MoveState &State, const MoveInputs &In) const;
+  /// Whether the share has to be lowered to restore the concurrent baseline.
+  bool mustLowerShare(const MoveState &State, const MoveInputs &In) const;
+  /// Gain that keeps the candidate within UnjudgedShareLimit.
+  double gainWithinUnjudgedLimit(const MoveState &State,
+                                 const MoveInputs &In) const;
   /// Gain that keeps the candidate within EarlyShareLimit.
   double gainWithinEarlyLimit(const MoveInputs &In) const;
   /// Gain needed by now to reach the target in time.
--- a/src/libpolicy/rateevidence.cpp
+++ b/src/libpolicy/rateevidence.cpp
@@ -15,6 +15,11 @@
 /// rate to 1.
 constexpr std::array<double, 6> AlternativeFractions = {0.02, 0.06, 0.15,
                                                         0.35, 0.65, 0.95};
+/// The alternative, of those above, against which good calls count.
+constexpr double GoodAgainstFraction = 0.25;
+/// Lower limit of the evidence for a good candidate. Without it, a disturbance
+/// of both versions would hold up a good one long after it has ended.
+constexpr double MinGoodEvidence = 0;
 /// Alternative odds ratios for the comparison with the concurrent baseline.
 constexpr std::array<double, 3> OddsRatios = {4, 30, 300};
 /// Natural logarithm of 10,000: on one route, a disturbance that affects both
@@ -29,14 +34,18 @@
 constexpr Duration StratumDuration = std::chrono::seconds(1);
 
 /// Baseline calls needed before the candidate is evaluated.
-constexpr double MinBaselineCalls = 200;
+constexpr double MinBaselineCalls = 20;
 /// Time constants of the exponential decay of the counts.
 constexpr Duration BaselineTimeConstant = std::chrono::seconds(60);
 constexpr Duration RecentTimeConstant = std::chrono::seconds(2);
 /// Standard deviations of the upper estimate of the baseline's rate. One is
-/// enough: a new candidate has far fewer calls than the baseline, so that its
-/// own noise exceeds the error of the estimate.
+/// enough for a baseline with this many calls: a new candidate has far fewer,
+/// so that its own noise exceeds the error of the estimate. With fewer calls
+/// the estimate is wider, so that a route with little traffic is judged sooner,
+/// but only on clear evidence.
 constexpr double UpperBoundDeviations = 1;
+constexpr double MaxUpperBoundDeviations = 3;
+constexpr double WellKnownBaselineCalls = 200;
 
 /// Fraction of all recent calls above which the candidate counts as having no
 /// concurrent baseline.
@@ -65,9 +74,16 @@
   return 0.5 * Spread / (Position * (Position + 1));
 }
 
-/// Upper end of the Wilson score interval of the fault rate.
-double upperRate(FaultCount Count) {
-  constexpr double Z = UpperBoundDeviations;
+/// Standard deviations for a baseline with \a Calls calls.
+double deviationsFor(double Calls) {
+  double Wider = std::sqrt(WellKnownBaselineCalls / std::max(Calls, 1.0));
+  return std::clamp(UpperBoundDeviations * Wider, UpperBoundDeviations,
+                    MaxUpperBoundDeviations);
+}
+
+/// Upper end of the Wilson score interval of the fault rate, \a Z standard
+/// deviations wide.
+double upperRate(FaultCount Count, double Z) {
   double N = Count.Calls;
   if (N <= 0)
     return 1;
@@ -114,14 +130,18 @@
   this->updateBaseline(Now, Baseline, Candidate);
   this->updateComparison(Now, Baseline, Candidate);
   this->PendingCandidate.add(Candidate);
-  if (this->Baseline.Calls < MinBaselineCalls ||
-      this->PendingCandidate.Calls <= 0)
+  if (!this->hasBaseline() || this->PendingCandidate.Calls <= 0)
     return;
   this->updateRatios(this->PendingCandidate);
+  this->updateGoodEvidence(this->PendingCandidate);
   this->PendingCandidate = {};
   this->updateVerdict();
 }
 
+bool RateEvidence::hasBaseline() const {
+  return this->Baseline.Calls >= MinBaselineCalls;
+}
+
 void RateEvidence::updateBaseline(Instant Now, FaultCount Baseline,
                                   FaultCount Candidate) {
   Duration Elapsed = Now - this->LastStepAt.value_or(Now);
@@ -135,13 +155,14 @@
   if (Baseline.Calls > 0)
     this->Baseline.scaleBy(decayFactor(Elapsed, BaselineTimeConstant));
   double KnownRate = this->Baseline.rate();
-  bool HasBaseline = this->Baseline.Calls >= MinBaselineCalls;
+  bool HadBaseline = this->hasBaseline();
   this->Baseline.add(Baseline);
-  this->BaselineUpperRate = upperRate(this->Baseline);
+  this->BaselineUpperRate =
+      upperRate(this->Baseline, deviationsFor(this->Baseline.Calls));
   for (FaultCount Count : {Baseline, this->RecentBaseline})
-    if (HasBaseline && exceedsExpected(Count, KnownRate))
-      this->BaselineUpperRate =
-          std::max(this->BaselineUpperRate, upperRate(Count));
+    if (HadBaseline && exceedsExpected(Count, KnownRate))
+      this->BaselineUpperRate = std::max(
+          this->BaselineUpperRate, upperRate(Count, UpperBoundDeviations));
   if (this->lacksConcurrentBaseline())
     this->BaselineUpperRate =
         this->BaselineUpperRate * UnpairedRateFactor + UnpairedRateMargin;
@@ -165,6 +186,20 @@
   }
 }
 
+void RateEvidence::updateGoodEvidence(FaultCount Candidate) {
+  double Rate = this->BaselineUpperRate +
+                (1 - this->BaselineUpperRate) * GoodAgainstFraction;
+  double FaultlessCalls = Candidate.Calls - Candidate.Faults;
+  this->GoodEvidence -= FaultlessCalls * std::log1p(-GoodAgainstFraction);
+  this->GoodEvidence -=
+      Candidate.Faults * std::log(Rate / this->BaselineUpperRate);
+  this->GoodEvidence = std::max(this->GoodEvidence, MinGoodEvidence);
+}
+
+double RateEvidence::goodCalls() const {
+  return std::max(0.0, -this->GoodEvidence / std::log1p(-GoodAgainstFraction));
+}
+
 void RateEvidence::updateComparison(Instant Now, FaultCount Baseline,
                                     FaultCount Candidate) {
   double Calls = this->StratumBaseline.Calls + this->StratumCandidate.Calls;
@@ -228,6 +263,7 @@
   this->StratumBaseline = {};
   this->StratumCandidate = {};
   this->PendingCandidate = {};
+  this->GoodEvidence = 0;
   this->RecentCandidate = {};
 }
 
--- a/src/libpolicy/rateevidence.h
+++ b/src/libpolicy/rateevidence.h
@@ -53,6 +53,13 @@
   /// Whether the candidate is probably bad, while too few concurrent baseline
   /// calls show that the baseline is better. False once candidateBad() is true.
   bool candidateSuspect() const { return this->CandidateSuspect; }
+  /// Whether the baseline has had enough calls to compare the candidate with.
+  bool hasBaseline() const;
+  /// Evidence that the candidate is no worse than the baseline, against the
+  /// alternative that about a third of its calls have the fault: the number of
+  /// calls without a fault that would show as much. Calls that wait for a
+  /// baseline do not count; a fault outweighs several good calls.
+  double goodCalls() const;
   /// Natural logarithm of the mixture likelihood ratio.
   double evidence() const;
   /// Upper estimate of the baseline's fault rate that the last step used.
@@ -66,6 +73,7 @@
 
   void updateBaseline(Instant Now, FaultCount Baseline, FaultCount Candidate);
   void updateRatios(FaultCount Candidate);
+  void updateGoodEvidence(FaultCount Candidate);
   void updateComparison(Instant Now, FaultCount Baseline, FaultCount Candidate);
   /// ComparisonEvidence at \a Index with the open stratum included.
   double comparisonEvidence(std::size_t Index) const;
@@ -94,6 +102,8 @@
   Instant StratumStartedAt;
   /// Candidate calls not yet evaluated, as the baseline has too few calls.
   FaultCount PendingCandidate;
+  /// Logarithm of the likelihood ratio behind goodCalls().
+  double GoodEvidence = 0;
   /// Counts with exponential decay: a time constant of 60 s for the baseline, 2
   /// s for the recent calls.
   FaultCount Baseline;
--- a/src/libpolicy/routeanalysis.cpp
+++ b/src/libpolicy/routeanalysis.cpp
@@ -11,8 +11,9 @@
 /// Histogram buckets between that percentile and the threshold, a factor of
 /// 1.4, so that a slightly slower version does not count as bad.
 constexpr std::size_t SlowMarginBuckets = 2;
-/// Baseline latencies needed before the threshold is computed.
-constexpr std::uint64_t MinBaselineLatencies = 200;
+/// Baseline latencies needed before the threshold is computed. With fewer than
+/// 100 the threshold lies above all of them.
+constexpr std::uint64_t MinBaselineLatencies = 20;
 /// Time after which the threshold is computed again; sooner when the number of
 /// latencies has doubled.
 constexpr Duration ThresholdInterval = std::chrono::seconds(10);
@@ -94,6 +95,14 @@
   this->PendingCandidate = {};
 }
 
+double RouteAnalysis::goodCalls() const {
+  return std::min(this->Failures.goodCalls(), this->Slowness.goodCalls());
+}
+
+bool RouteAnalysis::hasBaseline() const {
+  return this->Failures.hasBaseline() && this->Slowness.hasBaseline();
+}
+
 Duration RouteAnalysis::slowThreshold() const {
   return this->SlowBucket < LatencyHistogram::Buckets
              ? LatencyHistogram::lowerEdge(this->SlowBucket)
--- a/src/libpolicy/routeanalysis.h
+++ b/src/libpolicy/routeanalysis.h
@@ -32,6 +32,14 @@
   const RateEvidence &slowness() const { return this->Slowness; }
   /// Calls of the candidate since the start or the last reset.
   std::uint64_t candidateCalls() const { return this->CandidateCalls; }
+  /// Calls of both versions since the start.
+  std::uint64_t allCalls() const {
+    return this->LastBaseline.Calls + this->LastCandidate.Calls;
+  }
+  /// See RateEvidence::goodCalls(); the lower number of the two kinds of fault.
+  double goodCalls() const;
+  /// Whether the baseline is known for both kinds of fault.
+  bool hasBaseline() const;
   /// Lowest latency that counts as slow; Duration::max() while unknown.
   Duration slowThreshold() const;
 
--- a/src/libpolicy/versionanalysis.h
+++ b/src/libpolicy/versionanalysis.h
@@ -7,6 +7,7 @@
 #include "libpolicy/routeanalysis.h"
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace amaranthward {
@@ -14,7 +15,8 @@
 enum class VerdictKind {
   /// The candidate has had too few calls.
   NotEnoughEvidence,
-  /// The candidate has had MinGoodCalls and no route shows a fault.
+  /// The candidate has had MinGoodCalls and no route shows a fault. Routes with
+  /// too few calls of their own are in AnalysisVerdict::Unjudged.
   GoodSoFar,
   /// Probably bad, but there are no concurrent baseline calls, or too few, to
   /// exclude a disturbance that affects both versions.
@@ -27,6 +29,7 @@
 
 /// The measurements behind a verdict of Bad.
 struct BadEvidence {
+  /// Empty when the calls of all routes together show the fault.
   RouteName Route;
   FaultKind Fault = FaultKind::Failures;
   /// Calls of the candidate on the route since the start or the last reset.
@@ -39,14 +42,31 @@
   double Evidence = 0;
 };
 
+/// A route that has calls, but on which too few show that the candidate is
+/// good.
+struct UnjudgedRoute {
+  RouteName Route;
+  /// Calls of both versions since the start.
+  std::uint64_t AllCalls = 0;
+  /// See RateEvidence::goodCalls().
+  double GoodCalls = 0;
+  /// False while the baseline has had too few calls to compare with.
+  bool HasBaseline = false;
+};
+
 struct AnalysisVerdict {
   VerdictKind Kind = VerdictKind::NotEnoughEvidence;
   /// Calls of the candidate on all routes since the start or the last reset.
   std::uint64_t CandidateCalls = 0;
   /// Set when and only when \a Kind is Bad.
   std::optional<BadEvidence> Bad;
+  std::vector<UnjudgedRoute> Unjudged;
 };
 
+/// One line for logs: kind, candidate calls, and those routes without evidence
+/// that have most calls.
+std::string describe(const AnalysisVerdict &Verdict);
+
 /// Cumulative counters of one route, summed over all reporters.
 struct RouteTotals {
   CallCounters Baseline;
@@ -60,10 +80,14 @@
   /// Candidate calls needed for GoodSoFar. A version that fails one call in ten
   /// passes 50 calls without a failure with probability 0.5%.
   std::uint64_t MinGoodCalls = 50;
+  /// Good calls needed on each route, see RateEvidence::goodCalls(). A version
+  /// that fails a third of its calls passes with probability 1%.
+  double MinRouteCalls = 16;
 };
 
 /// Compares a candidate version with the concurrent baseline on each route of
-/// one service during one move.
+/// one service during one move, and on all routes together, which shows a fault
+/// on many routes that have few calls each.
 class VersionAnalysis {
 public:
   /// Fails with InvalidArgument without routes or with a budget outside (0, 1).
@@ -85,9 +109,12 @@
   VersionAnalysis(const std::vector<RouteName> &Routes,
                   AnalysisOptions Options);
   void updateVerdict();
+  /// Raises the verdict to Suspect or Bad where \a Analysis shows a fault.
+  void applyFaults(const RouteName &Route, const RouteAnalysis &Analysis);
 
   AnalysisOptions Options;
   std::map<RouteName, RouteAnalysis> Routes;
+  RouteAnalysis AllRoutes;
   AnalysisVerdict Verdict;
 };
 
--- a/tests/libpolicy/test_movepacer.cpp
+++ b/tests/libpolicy/test_movepacer.cpp
@@ -234,3 +234,84 @@
   CHECK_FALSE(
       MovePacer::create({.StepInterval = Duration::zero()}).has_value());
 }
+
+namespace {
+
+/// A route on which both versions got \a Rate calls a second together.
+UnjudgedRoute unjudged(double Rate, Duration After, double GoodCalls,
+                       bool HasBaseline = true) {
+  double Calls = Rate * std::chrono::duration<double>(After).count();
+  return {RouteName("rare"), static_cast<std::uint64_t>(Calls), GoodCalls,
+          HasBaseline};
+}
+
+} // namespace
+
+TEST_CASE("A route without evidence holds the share and the end of a move") {
+  // Guards against missing evidence that counts as good: a version got all
+  // calls and was completed although one route had shown nothing yet.
+  auto Pacer = *MovePacer::create();
+  MoveState State = begin(AllNew);
+  Duration Step = std::chrono::milliseconds(100);
+  Duration Deadline = State.Deadline - State.StartedAt;
+  for (Duration At = Step; At < Deadline; At += Step) {
+    auto In = inputs(At, VerdictKind::GoodSoFar, 5000);
+    In.Verdict.Unjudged = {unjudged(20, At, 0)};
+    State = Pacer.decide(State, In).Next;
+    REQUIRE_FALSE(State.ended());
+    CHECK(State.shareOf(New) <= Share(1000));
+    CHECK_FALSE(State.Evidence.Good);
+  }
+  auto Late = inputs(Deadline, VerdictKind::GoodSoFar, 5000);
+  Late.Verdict.Unjudged = {unjudged(20, Deadline, 0)};
+  CHECK((Pacer.decide(State, Late).Next.Phase == MovePhase::TakenBack));
+}
+
+TEST_CASE("A rare route does not hold up a move") {
+  // Guards against a good version that is taken back because one route has
+  // fewer calls before the deadline than any evidence needs.
+  MoveState State = begin(AllNew);
+  auto Pacer = *MovePacer::create();
+  Duration Step = std::chrono::milliseconds(100);
+  for (Duration At = Step; !State.ended(); At += Step) {
+    auto In = inputs(At, VerdictKind::GoodSoFar, 5000);
+    In.Verdict.Unjudged = {unjudged(0.5, At, 0, false)};
+    State = Pacer.decide(State, In).Next;
+  }
+  CHECK((State.Phase == MovePhase::Done));
+  CHECK(State.EndedAt <= State.Deadline);
+}
+
+TEST_CASE("A route that starts at the full share gets a baseline") {
+  // Guards against a route that only the candidate serves, so that nothing can
+  // be said about it.
+  auto Pacer = *MovePacer::create();
+  Duration At = std::chrono::seconds(35);
+  MoveState Held = runGood(begin(AllNew), Duration(0), At);
+  REQUIRE((Held.Phase == MovePhase::Holding));
+  auto In = inputs(At, VerdictKind::GoodSoFar, 9000);
+  In.Verdict.Unjudged = {unjudged(20, At, 0, false)};
+  MoveState Lowered = Pacer.decide(Held, In).Next;
+  CHECK(Lowered.shareOf(New) == Share(5000));
+  // No restored target before the evidence is there.
+  At += std::chrono::seconds(2);
+  In.Now = Start + At;
+  In.Verdict.Unjudged = {unjudged(20, At, 5)};
+  CHECK(Pacer.decide(Lowered, In).Next.shareOf(New) == Share(5000));
+  In.Verdict.Unjudged.clear();
+  CHECK(Pacer.decide(Lowered, In).Next.InForce == AllNew);
+}
+
+TEST_CASE("A new leader ends no move on the counters of some nodes") {
+  // Guards against a move that is done before the nodes have told a new leader
+  // of the calls on the bad route.
+  auto Pacer = *MovePacer::create();
+  Duration At = std::chrono::seconds(44);
+  MoveState Held =
+      runGood(begin(AllNew), Duration(0), std::chrono::seconds(35));
+  auto In = inputs(At, VerdictKind::GoodSoFar, 60);
+  In.Leading = std::chrono::milliseconds(300);
+  CHECK((Pacer.decide(Held, In).Action == MoveAction::Keep));
+  In.Leading = std::chrono::seconds(2);
+  CHECK((Pacer.decide(Held, In).Next.Phase == MovePhase::Done));
+}
--- a/tests/libpolicy/test_versionanalysis.cpp
+++ b/tests/libpolicy/test_versionanalysis.cpp
@@ -128,13 +128,70 @@
 }
 
 TEST_CASE("Little traffic gives no verdict") {
-  // Guards against a verdict from too few calls.
+  // Guards against a verdict from too few calls: without a known baseline, and
+  // by chance from a fault rate that both versions share.
   CallPattern FewCalls;
   FewCalls.BaselineCalls = 1;
   FewCalls.CandidateCalls = 1;
   FewCalls.CandidateFailures = 1;
-  CHECK((AnalysisFixture(4).run(FewCalls, 49).Kind ==
+  CHECK((AnalysisFixture(4).run(FewCalls, 19).Kind ==
          VerdictKind::NotEnoughEvidence));
+  for (std::uint64_t Seed = 1; Seed <= 200; ++Seed) {
+    CallPattern Alike = FewCalls;
+    Alike.BaselineFailures = Alike.CandidateFailures = 0.01 * (Seed % 40);
+    CAPTURE(Seed);
+    CHECK((AnalysisFixture(Seed).run(Alike, 49).Kind != VerdictKind::Bad));
+  }
+}
+
+TEST_CASE("A route with few calls is judged by clear evidence alone") {
+  // Guards against a baseline of fewer than 200 calls that gave no verdict,
+  // however many calls of the candidate failed.
+  CallPattern AllFail;
+  AllFail.BaselineCalls = AllFail.CandidateCalls = 1;
+  AllFail.BaselineFailures = 0;
+  AllFail.CandidateFailures = 1;
+  AnalysisVerdict Verdict = AnalysisFixture(4).run(AllFail, 49);
+  REQUIRE((Verdict.Kind == VerdictKind::Bad));
+  CHECK(Verdict.Bad->Calls < 40);
+  // Good calls show in the list of routes without evidence until there are
+  // enough of them.
+  AnalysisFixture Good(5);
+  CallPattern Fine = AllFail;
+  Fine.CandidateFailures = 0;
+  Verdict = Good.run(Fine, 10);
+  REQUIRE(Verdict.Unjudged.size() == 1);
+  CHECK(Verdict.Unjudged[0].AllCalls == 20);
+  CHECK(Verdict.Unjudged[0].GoodCalls == 0);
+  CHECK_FALSE(Verdict.Unjudged[0].HasBaseline);
+  CHECK(Good.run(Fine, 30).Unjudged.empty());
+}
+
+TEST_CASE("A fault on many routes with few calls each is found") {
+  // Guards against a version that is bad on routes of which none has enough
+  // calls for evidence of its own.
+  std::vector<RouteName> Routes;
+  for (int Index = 0; Index < 300; ++Index)
+    Routes.emplace_back("r" + std::to_string(Index));
+  VersionAnalysis Analysis = *VersionAnalysis::create(Routes);
+  std::map<RouteName, RouteTotals> Totals;
+  SeededNumbers Numbers(6);
+  Instant Now;
+  for (int Step = 0; Step < 60; ++Step) {
+    for (int Call = 0; Call < 40; ++Call) {
+      RouteTotals &Route = Totals[Routes[Numbers.next() % Routes.size()]];
+      if (Call < 32)
+        Route.Baseline.count(false, std::chrono::milliseconds(6));
+      else
+        Route.Candidate.count(Numbers.chance(0.5),
+                              std::chrono::milliseconds(6));
+    }
+    Now += StepTime;
+    if (Analysis.step(Now, Totals).Kind == VerdictKind::Bad)
+      break;
+  }
+  REQUIRE((Analysis.verdict().Kind == VerdictKind::Bad));
+  CHECK(Analysis.verdict().CandidateCalls < 100);
 }
 
 TEST_CASE("Counters that decrease and unknown routes change nothing") {
