Nodes: callers are of the service in the settings, strangers change nothing

Cause: the newest announcement decided both who the caller is and what runs beside the node, whatever service it named; fields without use were not read.

- The caller's service comes from the settings and follows the file.
- checkAnnouncement() refuses other addresses, services that nobody names, a second service while the upstream still announces itself, and contradictions of the same start.
- A heartbeat with an absent or mistyped field is refused.

Why it works: no message can change what the settings fixed, and one that names no upstream is dropped before it becomes the newest announcement, so the next heartbeat of the real upstream counts.

--- a/src/amaranthward/nodeprocess.cpp
+++ b/src/amaranthward/nodeprocess.cpp
@@ -104,6 +104,8 @@
   GateOptions GateSettings;
   GateSettings.Self = this->Identity;
   GateSettings.Names = this->Settings.Headers;
+  GateSettings.OwnService = this->Settings.Service;
+  GateSettings.OwnAddress = this->Settings.Upstream;
   GateSettings.AnnouncementTimeout = this->Settings.UpstreamSilence;
   GateHooks OnGate;
   OnGate.OnUpstream =
@@ -143,7 +145,9 @@
 
 void NodeProcess::onUpstream(
     const std::optional<UpstreamAnnouncement> &Upstream) {
-  if (Upstream)
+  // Callers are of the service that the settings name, whatever the upstream
+  // beside this node says of itself.
+  if (Upstream && this->Settings.Service.empty())
     this->Entry->setOwnService(Upstream->Service);
   Member Self = this->Distribution->self();
   Self.Service = Upstream ? Upstream->Service : ServiceName();
@@ -191,6 +195,11 @@
 void NodeProcess::reload(const NodeSettings &Changed) {
   this->Settings.Control = Changed.Control;
   this->Distribution->setControl(Changed.Control);
+  this->Settings.Service = Changed.Service;
+  this->Settings.Upstream = Changed.Upstream;
+  this->Gate->setOwnUpstream(Changed.Service, Changed.Upstream);
+  if (!Changed.Service.empty())
+    this->Entry->setOwnService(Changed.Service);
 }
 
 void NodeProcess::continueStop() {
--- a/src/amaranthward/nodeprocess.h
+++ b/src/amaranthward/nodeprocess.h
@@ -24,7 +24,7 @@
   /// requests, ends its session, then stops the loop.
   void beginStop();
   /// Applies the settings that may change while the process runs: the addresses
-  /// of the control replicas.
+  /// of the control replicas, and the service and address of the upstream.
   void reload(const NodeSettings &Changed);
 
   static constexpr Duration TickInterval = std::chrono::milliseconds(10);
--- a/src/amaranthward/nodeprocesslisteners.cpp
+++ b/src/amaranthward/nodeprocesslisteners.cpp
@@ -75,7 +75,8 @@
         auto Announced = UpstreamAnnouncement::parse(*Value);
         if (!Announced)
           return respondError(*Exchange, 400, Announced.error().Message);
-        this->Gate->announce(*Announced);
+        if (auto Taken = this->Gate->announce(*Announced); !Taken)
+          return respondError(*Exchange, 400, Taken.error().Message);
         respond(*Exchange, 204, "", "");
       });
   if (this->Settings.Platform)
@@ -90,16 +91,8 @@
 
 void NodeProcess::addPlatform() {
   PlatformNode::Hooks Hooks;
-  Hooks.OnAnnounced =
-      [this](const UpstreamAnnouncement &Announced) -> Result<void> {
-    if (!this->Settings.Upstream.empty() &&
-        Announced.Address != this->Settings.Upstream)
-      return fail(
-          ErrorCode::InvalidArgument,
-          "upstream " + Announced.Address.str() +
-              " is not the upstream that the settings of this node name");
-    this->Gate->announce(Announced);
-    return {};
+  Hooks.OnAnnounced = [this](const UpstreamAnnouncement &Announced) {
+    return this->Gate->announce(Announced);
   };
   Hooks.OnDeregistered = [this](const UpstreamEnd &Ended) {
     this->Gate->deregister(Ended);
--- a/src/libconfig/settings.h
+++ b/src/libconfig/settings.h
@@ -81,7 +81,8 @@
   HeaderNames Headers;
   SyncTimes Sync;
   std::optional<ReadySettings> Ready;
-  /// Service of the upstream beside the node until it announces itself.
+  /// Service of the upstream beside the node, and of the requests that begin
+  /// there; empty: the one that the upstream announces.
   ServiceName Service;
   /// Address of the upstream; announcements of others are refused. Empty: any.
   Endpoint Upstream;
--- a/src/libproxy/entryrole.h
+++ b/src/libproxy/entryrole.h
@@ -31,8 +31,7 @@
 
   /// Replaces the configuration and the list of members.
   void update(const ProxyState &State);
-  /// Sets the service of the upstream beside this node, once it has announced
-  /// itself.
+  /// Sets the service that requests which begin at this node come from.
   void setOwnService(const ServiceName &Service) {
     this->Shared.OwnService = Service;
   }
--- a/src/libproxy/gaterole.h
+++ b/src/libproxy/gaterole.h
@@ -10,6 +10,10 @@
 struct GateOptions {
   NodeIdentity Self;
   HeaderNames Names;
+  /// Service and address that the settings name for the upstream beside this
+  /// node; empty: any.
+  ServiceName OwnService;
+  Endpoint OwnAddress;
   /// Time without an announcement after which the upstream is withdrawn.
   Duration AnnouncementTimeout = std::chrono::seconds(3);
   /// Interval of the interim responses to entries that wait for a response.
@@ -48,8 +52,11 @@
   /// not parse is answered with status 400.
   void handle(std::shared_ptr<ServerExchange> Exchange);
   /// Takes an announcement of the upstream. An outdated one, which arrives
-  /// after a newer one, is ignored.
-  void announce(const UpstreamAnnouncement &Upstream);
+  /// after a newer one, is ignored. Fails, and changes nothing, when
+  /// checkAnnouncement() refuses it.
+  Result<void> announce(const UpstreamAnnouncement &Upstream);
+  /// Replaces the service and address that the settings name.
+  void setOwnUpstream(const ServiceName &Service, const Endpoint &Address);
   /// Takes the upstream's message that it stops; later announcements of the
   /// same start are ignored. A message about an earlier start of the same
   /// instance has no effect.
@@ -89,6 +96,8 @@
   bool isVersionWithdrawn(const VersionName &Version) const;
   /// Whether a newer announcement or the end of this start was received.
   bool isOutdated(const UpstreamAnnouncement &Received) const;
+  /// See checkAnnouncement().
+  Result<void> check(const UpstreamAnnouncement &Received) const;
   /// Refuses a request with outcome "not run", counts it and logs it.
   void refuseOnArrival(const ForwardedRequest &Request,
                        ServerExchange &Exchange, const std::string &Reason);
--- a/src/libproxy/gateroleupstream.cpp
+++ b/src/libproxy/gateroleupstream.cpp
@@ -1,3 +1,4 @@
+#include "libproxy/announcementcheck.h"
 #include "libproxy/gaterole.h"
 
 #include <algorithm>
@@ -11,9 +12,11 @@
 
 } // namespace
 
-void GateRole::announce(const UpstreamAnnouncement &Upstream) {
+Result<void> GateRole::announce(const UpstreamAnnouncement &Upstream) {
   if (this->isOutdated(Upstream))
-    return;
+    return {};
+  if (auto Checked = this->check(Upstream); !Checked)
+    return Checked;
   this->LastAnnounced = this->Loop.now();
   bool Replaced = !this->Current || !this->Current->sameStart(Upstream);
   bool WasLeaving = this->Current && this->Current->Leaving;
@@ -25,8 +28,10 @@
     this->createAdmission();
   }
   this->updateAdmission();
-  if (Unchanged)
-    return this->scheduleWake();
+  if (Unchanged) {
+    this->scheduleWake();
+    return {};
+  }
   if (Upstream.Leaving || this->OwnZoneOutOfService)
     this->Admission->leave(this->LastAnnounced);
   else if (WasLeaving)
@@ -35,6 +40,23 @@
   this->logUpstream("upstream_changed");
   if (this->Hooks.OnUpstream)
     this->Hooks.OnUpstream(this->Current);
+  return {};
+}
+
+Result<void> GateRole::check(const UpstreamAnnouncement &Received) const {
+  AnnouncementContext Known;
+  Known.OwnService = this->Options.OwnService;
+  Known.OwnAddress = this->Options.OwnAddress;
+  Known.View = this->State.View.get();
+  Known.Current = this->Current ? &*this->Current : nullptr;
+  Known.Silence = this->Loop.now() - this->LastAnnounced;
+  return checkAnnouncement(Received, Known);
+}
+
+void GateRole::setOwnUpstream(const ServiceName &Service,
+                              const Endpoint &Address) {
+  this->Options.OwnService = Service;
+  this->Options.OwnAddress = Address;
 }
 
 bool GateRole::isOutdated(const UpstreamAnnouncement &Received) const {
@@ -125,7 +147,8 @@
       respondJson(*Done, 400, {{"error", Parsed.error().Message}});
       return;
     }
-    this->announce(*Parsed);
+    if (auto Taken = this->announce(*Parsed); !Taken)
+      return respondJson(*Done, 400, {{"error", Taken.error().Message}});
     respondJson(*Done, 200, Json::object());
   });
 }
--- a/tests/platform/test_upstreamreport.cpp
+++ b/tests/platform/test_upstreamreport.cpp
@@ -44,6 +44,19 @@
   CHECK(isRefused("\"sequence\":4", "\"sequence\":\"4\""));
   CHECK(isRefused("\"slots\":9", "\"slots\":-9"));
   CHECK(isRefused("1700000000123", "\"yesterday\""));
+  for (const char *Field : {"\"z\"", "\"v1\"", "\"shop\"", "\"ready\"",
+                            "\"10.128.0.9:8080\"", "\"1500ms\""})
+    for (const char *Value : {"7", "null", "true", "\"\"", "[]", "{}"}) {
+      CAPTURE(Field);
+      CAPTURE(Value);
+      CHECK(isRefused(Field, Value));
+    }
+  for (const char *Field :
+       {"\"address\"", "\"service\"", "\"version\"", "\"zone\"", "\"slots\"",
+        "\"state\"", "\"sequence\"", "\"coldRemaining\""})
+    CHECK(isRefused(Field, "\"other\""));
+  for (const char *Slots : {"0", "100001", "9.5", "\"9\"", "null"})
+    CHECK(isRefused("\"slots\":9", "\"slots\":" + std::string(Slots)));
   CHECK_FALSE(decodeHeartbeat(InstanceId("i-1"), "\xff\xfe").has_value());
   CHECK_FALSE(decodeHeartbeat(InstanceId("i-1"), "[]").has_value());
 }
--- a/util/mesh.py
+++ b/util/mesh.py
@@ -117,7 +117,7 @@
         return [u for u in self.upstreams
                 if u.zone == upstream.zone and u.index != upstream.index][:2]
 
-    def start_node(self, upstream):
+    def start_node(self, upstream, more_settings=""):
         i = upstream.index
         control = ", ".join(f'"127.0.0.1:{self.control_port(r)}"'
                             for r in range(self.replicas))
@@ -128,7 +128,8 @@
                 f'listen: "127.0.0.1:{self.caller_port(i)}"\n'
                 f'peer_listen: "127.0.0.1:{self.peer_port(i)}"\n'
                 f'local_listen: "127.0.0.1:{self.local_port(i)}"\n'
-                f"control: [{control}]\nwitnesses: [{witnesses}]\n")
+                f"control: [{control}]\nwitnesses: [{witnesses}]\n"
+                f"{more_settings}")
         path = self.write(f"node-{i}.yaml", text)
         self.spawn(f"node-{i}", [DAEMON, "node", f"--settings={path}"])
 
