Routes: a prefix that ends with a slash takes only paths that it begins

Cause: the table dropped the last slash of each prefix and compared whole segments, as is the rule for sets in YAML. Both rules stay, are told apart by the slash, and stand at RouteSpec::PathPrefix. On related ways, a host that is a port only matched every host; such a set is refused now.

Why it works: prefixes with the last slash are kept apart on their level and match only when the path goes on.

--- a/src/libconfig/configurationcheck.cpp
+++ b/src/libconfig/configurationcheck.cpp
@@ -1,5 +1,6 @@
 #include "libconfig/configurationcheck.h"
 
+#include "libconfig/hostname.h"
 #include <algorithm>
 #include <set>
 
@@ -48,7 +49,10 @@
     if (!Route.PathPrefix.starts_with('/'))
       this->error(At, "the path prefix does not begin with a slash",
                   "begin it with a slash");
-    if (!this->Matches.emplace(Route.Host, Route.PathPrefix).second)
+    std::string Host = normalizedHost(Route.Host);
+    if (!Route.Host.empty() && Host.empty())
+      this->error(At, "the host has no name", "name a host");
+    if (!this->Matches.emplace(Host, Route.PathPrefix).second)
       this->error(At, "another route has the same host and path prefix",
                   "change one of the two");
     if (Route.Timeout <= Duration::zero())
--- a/src/libconfig/configurationset.h
+++ b/src/libconfig/configurationset.h
@@ -76,6 +76,10 @@
   std::string Host;
   /// Empty matches every method.
   std::string Method;
+  /// With a slash at its end it matches the paths that it begins, byte by byte;
+  /// sets of the platform have such prefixes. Without one it matches whole
+  /// segments: "/orders" matches "/orders" and "/orders/17" but not
+  /// "/orders-archive"; sets in YAML have such prefixes.
   std::string PathPrefix;
   /// The service of all calls; for a route with parts, that of the first.
   ServiceName Service;
--- a/src/libconfig/routetable.cpp
+++ b/src/libconfig/routetable.cpp
@@ -1,7 +1,7 @@
 #include "libconfig/routetable.h"
 
+#include "libconfig/hostname.h"
 #include <algorithm>
-#include <cctype>
 
 namespace amaranthward {
 
@@ -16,28 +16,21 @@
   return Segment;
 }
 
-// A prefix matches on a segment boundary, with a slash at its end or not.
+// The segments of a prefix, each after a slash.
 std::string_view withoutLastSlash(std::string_view Prefix) {
   if (Prefix.ends_with('/'))
     Prefix.remove_suffix(1);
   return Prefix;
 }
 
-// Lower case, without the port.
-std::string hostKey(std::string_view Host) {
-  std::size_t Colon = Host.rfind(':');
-  if (Colon != std::string_view::npos && Host.find(']', Colon) == Host.npos)
-    Host = Host.substr(0, Colon);
-  std::string Key(Host);
-  std::transform(Key.begin(), Key.end(), Key.begin(),
-                 [](unsigned char Each) { return std::tolower(Each); });
-  return Key;
-}
-
 } // namespace
 
+RouteTable::RouteList &RouteTable::Level::listFor(std::string_view PathPrefix) {
+  return PathPrefix.ends_with('/') ? this->RoutesBelow : this->Routes;
+}
+
 void RouteTable::add(const RouteSpec &Route) {
-  Level *At = &this->Hosts[hostKey(Route.Host)];
+  Level *At = &this->Hosts[normalizedHost(Route.Host)];
   std::string_view Rest = withoutLastSlash(Route.PathPrefix);
   while (!Rest.empty()) {
     auto &Child = At->Children[std::string(takeSegment(Rest))];
@@ -45,16 +38,17 @@
       Child = std::make_unique<Level>();
     At = Child.get();
   }
+  RouteList &List = At->listFor(Route.PathPrefix);
   auto Place =
-      std::lower_bound(At->Routes.begin(), At->Routes.end(), Route.Name,
+      std::lower_bound(List.begin(), List.end(), Route.Name,
                        [](const RouteSpec *Each, const RouteName &Name) {
                          return Each->Name < Name;
                        });
-  At->Routes.insert(Place, &Route);
+  List.insert(Place, &Route);
 }
 
 void RouteTable::remove(const RouteSpec &Route) {
-  auto Host = this->Hosts.find(hostKey(Route.Host));
+  auto Host = this->Hosts.find(normalizedHost(Route.Host));
   if (Host == this->Hosts.end())
     return;
   removeBelow(Host->second, withoutLastSlash(Route.PathPrefix), Route);
@@ -65,7 +59,7 @@
 void RouteTable::removeBelow(Level &At, std::string_view Rest,
                              const RouteSpec &Route) {
   if (Rest.empty()) {
-    std::erase(At.Routes, &Route);
+    std::erase(At.listFor(Route.PathPrefix), &Route);
     return;
   }
   auto Child = At.Children.find(takeSegment(Rest));
@@ -76,9 +70,10 @@
     At.Children.erase(Child);
 }
 
-const RouteSpec *RouteTable::pick(const Level &At, std::string_view Method) {
+const RouteSpec *RouteTable::pick(const RouteList &Routes,
+                                  std::string_view Method) {
   const RouteSpec *AnyMethod = nullptr;
-  for (const RouteSpec *Route : At.Routes) {
+  for (const RouteSpec *Route : Routes) {
     if (Route->Method == Method)
       return Route;
     if (Route->Method.empty() && AnyMethod == nullptr)
@@ -91,16 +86,19 @@
                                         std::string_view Method,
                                         std::string_view Path) {
   const Level *At = &Root;
-  const RouteSpec *Best = pick(*At, Method);
-  while (!Path.empty()) {
+  const RouteSpec *Best = nullptr;
+  while (true) {
+    if (const RouteSpec *Longer = pick(At->Routes, Method))
+      Best = Longer;
+    if (Path.empty())
+      return Best;
+    if (const RouteSpec *Longer = pick(At->RoutesBelow, Method))
+      Best = Longer;
     auto Child = At->Children.find(takeSegment(Path));
     if (Child == At->Children.end())
-      break;
+      return Best;
     At = Child->second.get();
-    if (const RouteSpec *Longer = pick(*At, Method))
-      Best = Longer;
   }
-  return Best;
 }
 
 const RouteSpec *RouteTable::match(std::string_view Method,
@@ -108,7 +106,7 @@
                                    std::string_view Path) const {
   if (!Path.starts_with('/'))
     return nullptr;
-  for (const std::string &Key : {hostKey(Host), std::string()}) {
+  for (const std::string &Key : {normalizedHost(Host), std::string()}) {
     auto Found = this->Hosts.find(Key);
     if (Found == this->Hosts.end())
       continue;
--- a/src/libconfig/routetable.h
+++ b/src/libconfig/routetable.h
@@ -10,9 +10,13 @@
 
 namespace amaranthward {
 
-/// Finds the route of a call in a tree with one level for each path segment.
-/// The time is linear in the length of the matched prefix, however long the
-/// path is.
+/// Finds the route of a call: of the routes of its host, the one with the
+/// longest path prefix that matches (see RouteSpec::PathPrefix). Paths and
+/// prefixes are compared byte by byte; nothing is decoded or normalized.
+///
+/// The table is a tree with one level for each path segment. The time of a
+/// match is linear in the length of the matched prefix, however long the path
+/// is.
 class RouteTable {
 public:
   /// \param Route must outlive the table or be removed. Of two routes with the
@@ -26,21 +30,30 @@
                          std::string_view Path) const;
 
 private:
+  /// By name, so that the order does not depend on the history.
+  using RouteList = std::vector<const RouteSpec *>;
+
   struct Level {
     std::map<std::string, std::unique_ptr<Level>, std::less<>> Children;
-    /// By name, so that the order does not depend on the history.
-    std::vector<const RouteSpec *> Routes;
+    /// Routes whose prefix ends with the segment of this level.
+    RouteList Routes;
+    /// Routes whose prefix ends with a slash after that segment.
+    RouteList RoutesBelow;
 
     bool empty() const {
-      return this->Children.empty() && this->Routes.empty();
+      return this->Children.empty() && this->Routes.empty() &&
+             this->RoutesBelow.empty();
     }
+    /// The list that holds a route with \a PathPrefix.
+    RouteList &listFor(std::string_view PathPrefix);
   };
 
   /// Removes \a Route, whose prefix below \a At is \a Rest, and levels that
   /// become empty.
   static void removeBelow(Level &At, std::string_view Rest,
                           const RouteSpec &Route);
-  static const RouteSpec *pick(const Level &At, std::string_view Method);
+  static const RouteSpec *pick(const RouteList &Routes,
+                               std::string_view Method);
   static const RouteSpec *matchBelow(const Level &Root, std::string_view Method,
                                      std::string_view Path);
 
--- a/src/libconfig/routingview.h
+++ b/src/libconfig/routingview.h
@@ -40,11 +40,11 @@
   /// Applies an update that this view prepared last.
   void commit(Update Prepared);
 
-  /// The route with the longest path prefix that fits, on a segment boundary;
-  /// for the same prefix, a route for \a Method before one for any method.
-  /// \param Path without query. Nothing is decoded or normalised.
-  /// \param Host value of the Host header; routes of that host come before
-  /// routes for any host.
+  /// The route with the longest path prefix that matches, see
+  /// RouteSpec::PathPrefix; for the same prefix, a route for \a Method before
+  /// one for any method. \param Path without query. Nothing is decoded or
+  /// normalised. \param Host value of the Host header; routes of that host come
+  /// before routes for any host.
   const RouteSpec *matchRoute(std::string_view Method, std::string_view Path,
                               std::string_view Host = {}) const;
   /// The route of that name, or null.
--- a/tests/libconfig/test_platformmodel.cpp
+++ b/tests/libconfig/test_platformmodel.cpp
@@ -1,5 +1,6 @@
 #include "libconfig/routingview.h"
 
+#include "libconfig/configurationcheck.h"
 #include "libconfig/configurationcodec.h"
 #include "libconfig/resources.h"
 #include <doctest/doctest.h>
@@ -84,3 +85,22 @@
   CHECK(View->zoneInService(ZoneName("y")));
   CHECK_FALSE(View->zoneInService(ZoneName("z")));
 }
+
+TEST_CASE("Hosts that match alike are one host") {
+  // Guards against a route whose host is a port only, which would match every
+  // host, and against two routes for the same requests.
+  ConfigurationSet Set = sample();
+  REQUIRE(checkConfiguration(Set).empty());
+  ConfigurationSet PortOnly = Set;
+  PortOnly.Routes[0].Host = ":80";
+  CHECK_FALSE(checkConfiguration(PortOnly).empty());
+  for (const char *Host : {"A.example", "a.example:80", "a.EXAMPLE:8080"}) {
+    ConfigurationSet Twice = Set;
+    RouteSpec Copy = Set.Routes[0];
+    Copy.Name = RouteName("copy");
+    Twice.Routes[0].Host = "a.example";
+    Copy.Host = Host;
+    Twice.Routes.push_back(Copy);
+    CHECK_FALSE(checkConfiguration(Twice).empty());
+  }
+}
