--- a/src/libconfig/configurationcodec.cpp
+++ b/src/libconfig/configurationcodec.cpp
@@ -125,8 +125,11 @@
 }
 
 std::string digestOf(const ConfigurationSet &Set) {
+  return Set.Source.empty() ? formerDigestOf(Set) : sha256Hex(Set.Source);
+}
+
+std::string formerDigestOf(const ConfigurationSet &Set) {
   Json Value = toJson(Set);
-  // The source is another writing of what the other fields say.
   Value.erase("source");
   return sha256Hex(dumpJson(Value));
 }
--- a/src/libcontrol/applyconfiguration.cpp
+++ b/src/libcontrol/applyconfiguration.cpp
@@ -60,13 +60,26 @@
           {"submitted_at", this->SubmittedAt.time_since_epoch().count()}};
 }
 
+bool ApplyConfiguration::isRepeat(const AcceptedSet &Accepted,
+                                  const ControlData &Data) const {
+  if (Accepted.Digest == this->Digest)
+    return true;
+  // A set accepted by an earlier build has the digest of that build, which says
+  // nothing about fields that are not decoded. Of the current set the text is
+  // still there.
+  if (Accepted.Digest != formerDigestOf(this->Set))
+    return false;
+  bool IsCurrent = Data.Current && Data.Current->Version == Accepted.Version;
+  return !IsCurrent || Data.Current->Source == this->Set.Source;
+}
+
 std::optional<ApplyOutcome>
 ApplyConfiguration::knownOutcome(const ControlData &Data) const {
   for (const AcceptedSet &Accepted : Data.History) {
     if (Accepted.Version != this->Set.Version)
       continue;
-    auto What = Accepted.Digest == this->Digest ? ApplyOutcome::Kind::Repeated
-                                                : ApplyOutcome::Kind::Conflict;
+    auto What = this->isRepeat(Accepted, Data) ? ApplyOutcome::Kind::Repeated
+                                               : ApplyOutcome::Kind::Conflict;
     return ApplyOutcome{What, Accepted};
   }
   const AcceptedSet *Newest = Data.newest();
--- a/src/libcontrol/applyconfiguration.h
+++ b/src/libcontrol/applyconfiguration.h
@@ -53,6 +53,8 @@
   ApplyConfiguration(ConfigurationSet Set, std::string Digest,
                      WallTime SubmittedAt);
 
+  /// Whether this set is the accepted one, sent again.
+  bool isRepeat(const AcceptedSet &Accepted, const ControlData &Data) const;
   void updateService(ControlData &Data, Revision At,
                      const ServiceSpec &Spec) const;
   void beginMove(ControlData &Data, Revision At, const ServiceSpec &Spec,
--- a/tests/libcontrol/test_orders.cpp
+++ b/tests/libcontrol/test_orders.cpp
@@ -1,3 +1,4 @@
+#include "libconfig/configurationcodec.h"
 #include "libcontrol/controlfixture.h"
 #include "libcontrol/controlstate.h"
 #include "libcontrol/recordmove.h"
@@ -67,6 +68,64 @@
   CHECK(Replica.data().Current->Version == OperatorVersion(6));
 }
 
+namespace {
+
+ConfigurationSet withSource(ConfigurationSet Set, const std::string &Source) {
+  Set.Source = Source;
+  return Set;
+}
+
+/// Applies a set as an earlier build recorded it, with the digest of its
+/// decoded fields.
+void applyFormerRecord(TestReplica &Replica, const ConfigurationSet &Set) {
+  Json Record = ApplyConfiguration::create(Set, WallTime())->toJson();
+  Record["digest"] = formerDigestOf(Set);
+  Replica.Machine.apply(Replica.next(), ControlState::encode(Record));
+}
+
+} // namespace
+
+TEST_CASE("Two sets under one number that differ in their text conflict") {
+  // Guards against two operators who are both told that their change is in
+  // force, because the changes differ only in a field that is not decoded.
+  TestReplica Replica;
+  using Kind = ApplyOutcome::Kind;
+  ConfigurationSet Base = announcedVersionsSet(1, 0);
+  CHECK(Replica.apply(withSource(Base, "a")).What == Kind::Accepted);
+  CHECK(Replica.apply(withSource(Base, "b")).What == Kind::Conflict);
+  CHECK(Replica.apply(withSource(Base, "a")).What == Kind::Repeated);
+  CHECK(Replica.data().Current->Source == "a");
+  // The same once another set and a snapshot followed.
+  ConfigurationSet Next = announcedVersionsSet(2, 1);
+  CHECK(Replica.apply(withSource(Next, "c")).What == Kind::Accepted);
+  REQUIRE(Replica.Machine.restoreSnapshot(Replica.Machine.takeSnapshot())
+              .has_value());
+  CHECK(Replica.apply(withSource(Base, "b")).What == Kind::Conflict);
+  CHECK(Replica.apply(withSource(Base, "a")).What == Kind::Repeated);
+}
+
+TEST_CASE("A set on an old disk is known when it is sent again") {
+  // Guards against an upgrade after which the resend of an acknowledged set is
+  // a conflict, because the stored digest is that of an earlier build.
+  TestReplica Replica;
+  using Kind = ApplyOutcome::Kind;
+  ConfigurationSet First = withSource(announcedVersionsSet(1, 0), "a");
+  ConfigurationSet Second = withSource(announcedVersionsSet(2, 1), "b");
+  applyFormerRecord(Replica, First);
+  applyFormerRecord(Replica, Second);
+  SUBCASE("from the log") {}
+  SUBCASE("from a snapshot") {
+    REQUIRE(Replica.Machine.restoreSnapshot(Replica.Machine.takeSnapshot())
+                .has_value());
+  }
+  REQUIRE(Replica.data().newest()->Digest == formerDigestOf(Second));
+  CHECK(Replica.apply(First).What == Kind::Repeated);
+  CHECK(Replica.apply(Second).What == Kind::Repeated);
+  // Of the current set the text is known.
+  CHECK(Replica.apply(withSource(Second, "c")).What == Kind::Conflict);
+  CHECK(Replica.apply(announcedVersionsSet(1, 0, 2s)).What == Kind::Conflict);
+}
+
 TEST_CASE("A zone taken out by an order stays out after a set and a snapshot") {
   // Guards against a later set or a restart that puts a zone back in service
   // although an operator took it out.
