--- a/tests/libpolicy/test_versionanalysis.cpp
+++ b/tests/libpolicy/test_versionanalysis.cpp
@@ -171,6 +171,7 @@
   // Guards against a version that is bad on routes of which none has enough
   // calls for evidence of its own.
   std::vector<RouteName> Routes;
+  Routes.reserve(300);
   for (int Index = 0; Index < 300; ++Index)
     Routes.emplace_back("r" + std::to_string(Index));
   VersionAnalysis Analysis = *VersionAnalysis::create(Routes);
--- a/tests/libproxy/test_strangers.cpp
+++ b/tests/libproxy/test_strangers.cpp
@@ -102,11 +102,11 @@
          Said.StartedAt = 1000;
        }},
       {"no instance", [](auto &Said) { Said.Instance = InstanceId(); }}};
-  for (const auto &[Name, Apply] : Changes) {
-    CAPTURE(std::string(Name));
+  for (const auto &One : Changes) {
+    CAPTURE(std::string(One.first));
     StrangerMesh Mesh;
     UpstreamAnnouncement Said = Mesh.stranger();
-    Apply(Said);
+    One.second(Said);
     // One that counts as outdated is ignored, any other refused.
     (void)Mesh.Node.Gate->announce(Said);
     checkRealUpstream(Mesh);
