Comments: what the evidence of a move is weighed against

The evidence for a good candidate is weighed against a version with the fault in a quarter of its calls; two comments said a third.

--- a/src/libpolicy/movepacer.cpp
+++ b/src/libpolicy/movepacer.cpp
@@ -61,6 +61,8 @@
   return std::max(MaxSuspectShare, shareIn(State.Fallback, State.Candidate));
 }
 
+/// Halves the candidate's share, but not below that in the fallback; the
+/// baseline gets the rest.
 MoveDecision lowerShare(const MoveState &State, const MoveInputs &In) {
   MoveDecision Decision = {MoveAction::SetShare, State, false};
   Split &Shares = Decision.Next.InForce;
--- a/src/libpolicy/movestate.h
+++ b/src/libpolicy/movestate.h
@@ -10,8 +10,9 @@
 
 namespace amaranthward {
 
-/// Upper limit on the share of a suspect version (50%), so that the baseline
-/// gets as many calls to compare with until the verdict is clear.
+/// Upper limit on the share of a suspect version, or of one without a baseline
+/// on a route (50%), so that the baseline gets as many calls to compare with
+/// until the verdict is clear.
 inline constexpr Share MaxSuspectShare = Share(5000);
 
 /// Share of calls per version. Valid splits add up to Share::Whole.
--- a/src/libpolicy/rateevidence.cpp
+++ b/src/libpolicy/rateevidence.cpp
@@ -15,9 +15,11 @@
 /// rate to 1.
 constexpr std::array<double, 6> AlternativeFractions = {0.02, 0.06, 0.15,
                                                         0.35, 0.65, 0.95};
-/// The alternative, of those above, against which good calls count.
+/// Alternative fault rate against which good calls count, as a fraction like
+/// those above. Versions that fail fewer calls are found by the mixture.
 constexpr double GoodAgainstFraction = 0.25;
-/// Lower limit of the evidence for a good candidate. Without it, a disturbance
+/// Lower limit of the evidence for a good candidate, a natural logarithm.
+/// Without it, a disturbance
 /// of both versions would hold up a good one long after it has ended.
 constexpr double MinGoodEvidence = 0;
 /// Alternative odds ratios for the comparison with the concurrent baseline.
--- a/src/libpolicy/rateevidence.h
+++ b/src/libpolicy/rateevidence.h
@@ -56,7 +56,7 @@
   /// Whether the baseline has had enough calls to compare the candidate with.
   bool hasBaseline() const;
   /// Evidence that the candidate is no worse than the baseline, against the
-  /// alternative that about a third of its calls have the fault: the number of
+  /// alternative that a quarter of its calls have the fault: the number of
   /// calls without a fault that would show as much. Calls that wait for a
   /// baseline do not count; a fault outweighs several good calls.
   double goodCalls() const;
@@ -102,7 +102,7 @@
   Instant StratumStartedAt;
   /// Candidate calls not yet evaluated, as the baseline has too few calls.
   FaultCount PendingCandidate;
-  /// Logarithm of the likelihood ratio behind goodCalls().
+  /// Natural logarithm of the likelihood ratio behind goodCalls().
   double GoodEvidence = 0;
   /// Counts with exponential decay: a time constant of 60 s for the baseline, 2
   /// s for the recent calls.
--- a/src/libpolicy/versionanalysis.h
+++ b/src/libpolicy/versionanalysis.h
@@ -81,7 +81,7 @@
   /// passes 50 calls without a failure with probability 0.5%.
   std::uint64_t MinGoodCalls = 50;
   /// Good calls needed on each route, see RateEvidence::goodCalls(). A version
-  /// that fails a third of its calls passes with probability 1%.
+  /// that fails a quarter of its calls passes with probability 1%.
   double MinRouteCalls = 16;
 };
 
